--- /dev/null
+++ b/cmd/pollencrankd/hosted.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pollencrank/pollencrank/hoster"
+	"github.com/pollencrank/pollencrank/limiter"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+// collectPercent makes the garbage collector keep the heap small: an instance
+// has memory by the hundred megabytes and live data by the megabyte.
+const collectPercent = 50
+
+// hostedCommand runs an instance that a platform hosts.
+type hostedCommand struct {
+	LogLevel slog.Level `help:"Least level that is logged." default:"info" env:"POLLENCRANK_LOG_LEVEL"`
+}
+
+// Run runs the instance until it is told to stop.
+func (c *hostedCommand) Run() error {
+	debug.SetGCPercent(collectPercent)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	lines := recorder.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: c.LogLevel}))
+	h, err := newHoster(settings, log)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, settings, log)
+	return h.Run(ctx)
+}
+
+func newHoster(settings platform.Settings, log *slog.Logger) (*hoster.Hoster, error) {
+	listeners, err := listenHosted(settings)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewStore(platform.StoreConfig{Address: settings.StoreAddress})
+	return hoster.New(hoster.Config{
+		Self: namer.Instance{
+			ID:            settings.Instance,
+			Incarnation:   uint64(time.Now().UnixNano()),
+			FailureDomain: settings.FailureDomain,
+			Region:        settings.Region,
+			CallerAddress: settings.CallerAddress,
+			PeerAddress:   settings.PeerAddress,
+		},
+		RegionOf:  settings.RegionOf,
+		Listeners: listeners,
+		Dialect:   platform.Dialect{},
+		Lookups: hoster.Lookups{
+			LookupPath: platform.LookupPath,
+			ReadyPath:  platform.ReadyPath,
+			Read:       platform.ReadLookup,
+			Write:      platform.WriteLookup,
+		},
+		Registry:       platform.NewRegistry(store),
+		Servers:        platform.Servers(store, settings.RegionOf, log, time.Now),
+		Configurations: platform.Configurations(store, log),
+		Evacuations:    platform.Evacuations(store, log),
+		Instances:      platform.Instances(store, log),
+		Retries: limiter.WindowConfig{
+			Share:  settings.Bounds.RetryShare,
+			Extra:  settings.Bounds.RetryExtra,
+			Window: settings.Bounds.RetryWindow,
+		},
+		StopGrace:      settings.Bounds.StopGrace,
+		LookupLifetime: settings.Bounds.LookupLifetime,
+		Log:            log,
+	})
+}
+
+// listenHosted opens the sockets that the platform's settings name.
+func listenHosted(settings platform.Settings) (hoster.Listeners, error) {
+	var listeners hoster.Listeners
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&listeners.Callers, settings.CallerAddress},
+		{&listeners.Ready, settings.ReadyAddress},
+		{&listeners.Lookups, settings.LookupAddress},
+		{&listeners.Peers, settings.PeerAddress},
+		{&listeners.Metrics, settings.MetricsAddress},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return hoster.Listeners{}, err
+		}
+		*l.listener = listener
+	}
+	return listeners, nil
+}
+
+// reload checks changed settings when told so. Addresses and names hold until
+// the next start.
+func reload(ctx context.Context, current platform.Settings, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		next, err := platform.LoadSettings()
+		if err != nil {
+			log.Error("changed settings are faulty", recorder.EventSettingsInvalid.Attr(), slog.Any("error", err))
+			continue
+		}
+		log.Info("changed settings were read", recorder.EventSettingsReloaded.Attr(),
+			slog.Bool("boundsChanged", next.Bounds != current.Bounds))
+		current = next
+	}
+}
--- a/cmd/pollencrankd/main.go
+++ b/cmd/pollencrankd/main.go
@@ -22,16 +22,29 @@
 const maxConnections = 16_384
 
 func main() {
-	var s settings
-	parsed := kong.Parse(&s,
+	var c commands
+	parsed := kong.Parse(&c,
 		kong.Name("pollencrankd"),
 		kong.Description("Run an entry instance of a pollencrank fleet. Every flag can be set by its environment variable."),
 		kong.UsageOnError(),
 	)
-	parsed.FatalIfErrorf(s.check())
+	parsed.FatalIfErrorf(parsed.Run())
+}
+
+// commands are the ways to run an entry.
+type commands struct {
+	Serve  settings      `cmd:"" default:"withargs" help:"Run an entry with flags and environment variables (the default)."`
+	Hosted hostedCommand `cmd:"" help:"Run an entry with the settings file of a platform."`
+}
+
+// Run checks the settings and runs an entry until it is told to stop.
+func (s *settings) Run() error {
+	if err := s.check(); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	parsed.FatalIfErrorf(run(ctx, &s))
+	return run(ctx, s)
 }
 
 // run runs an entry until ctx ends, then performs a planned stop.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,12 @@
 type Config struct {
 	// DialContext opens connections. The default is a net.Dialer.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Dialect is how the servers use headers. The default is the project's own.
+	Dialect Dialect
+	// OnReport, if set, is told what a server says of itself with each answer.
+	OnReport func(target Target, report Report)
+	// IdleTimeout is how long an idle connection is kept.
+	IdleTimeout time.Duration
 }
 
 // Target is the server to send to.
@@ -65,7 +71,7 @@
 
 // Dispatcher sends requests to backend servers.
 type Dispatcher struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	config Config
 
 	// transports is replaced as a whole; requests read it without a lock.
 	transports atomic.Pointer[map[Target]*http.Transport]
@@ -77,7 +83,13 @@
 	if config.DialContext == nil {
 		config.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	d := &Dispatcher{dial: config.DialContext}
+	if config.Dialect == nil {
+		config.Dialect = ownDialect{}
+	}
+	if config.IdleTimeout <= 0 {
+		config.IdleTimeout = idleTimeout
+	}
+	d := &Dispatcher{config: config}
 	d.transports.Store(&map[Target]*http.Transport{})
 	return d
 }
@@ -136,7 +148,7 @@
 		DialContext:         d.dialCounted,
 		MaxConnsPerHost:     target.MaxConnections,
 		MaxIdleConnsPerHost: target.MaxConnections,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     d.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
 	}
@@ -147,7 +159,7 @@
 }
 
 func (d *Dispatcher) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.dial(ctx, network, address)
+	conn, err := d.config.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -160,7 +172,7 @@
 func (d *Dispatcher) Send(ctx context.Context, target Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
 	var attempt attempt
 	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
-	outgoing, err := newOutgoing(httptrace.WithClientTrace(ctx, trace), target, request)
+	outgoing, err := d.newOutgoing(httptrace.WithClientTrace(ctx, trace), target, request)
 	if err != nil {
 		return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
 	}
@@ -168,14 +180,18 @@
 	if err != nil {
 		return nil, attempt.classify(ctx, target, err)
 	}
-	if isShed(response) {
+	report := d.config.Dialect.Report(response.Header)
+	if d.config.OnReport != nil {
+		d.config.OnReport(target, report)
+	}
+	if reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header); notRun {
 		drain(response.Body)
-		return nil, shedError(target, response)
+		return nil, refusalError(target, reason, response)
 	}
-	return newAnswer(target, response), nil
+	return newAnswer(target, response, report), nil
 }
 
-func newOutgoing(ctx context.Context, target Target, request *pollencrank.Request) (*http.Request, error) {
+func (d *Dispatcher) newOutgoing(ctx context.Context, target Target, request *pollencrank.Request) (*http.Request, error) {
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+target.Address+request.URI, nil)
 	if err != nil {
 		return nil, err
@@ -189,17 +205,16 @@
 		// A present, empty value keeps net/http from adding its own.
 		outgoing.Header["User-Agent"] = []string{""}
 	}
-	left := max(0, time.Until(request.Deadline).Milliseconds())
-	outgoing.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
-	outgoing.Header.Set(HeaderRank, request.Rank.String())
+	d.config.Dialect.Encode(outgoing.Header, target, request, max(0, time.Until(request.Deadline)))
 	outgoing.ContentLength = request.ContentLength
 	if request.Body != nil && request.ContentLength != 0 {
 		outgoing.Body = io.NopCloser(request.Body)
 	}
-	if !request.Idempotent && outgoing.Body == nil {
+	if outgoing.Body == nil {
 		// net/http repeats a request on its own if its method or headers look
-		// idempotent and it has no body. A body that is not http.NoBody and
-		// cannot be rewound prevents that.
+		// idempotent and it has no body. Repeats are decided, and counted,
+		// elsewhere. A body that is not http.NoBody and cannot be rewound
+		// prevents that.
 		outgoing.Body = emptyBody{}
 	}
 	return outgoing, nil
@@ -214,15 +229,8 @@
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
 
-func isShed(response *http.Response) bool {
-	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
-		return false
-	}
-	return response.Header.Get(HeaderShed) == "true"
-}
-
-func shedError(target Target, response *http.Response) error {
-	err := pollencrank.NotRun(pollencrank.ReasonAllShed, "server %s shed the request", target.Name)
+func refusalError(target Target, reason pollencrank.Reason, response *http.Response) error {
+	err := pollencrank.NotRun(reason, "server %s did not run the request: status %d", target.Name, response.StatusCode)
 	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
 		err.RetryAt = time.Now().Add(time.Duration(seconds) * time.Second)
 	}
@@ -236,12 +244,14 @@
 	_ = body.Close()
 }
 
-func newAnswer(target Target, response *http.Response) *pollencrank.Answer {
+func newAnswer(target Target, response *http.Response, report Report) *pollencrank.Answer {
 	answer := &pollencrank.Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
 		Server:        target.Name,
+		RequestID:     report.RequestID,
+		IsGenuine:     report.IsSigned && !report.HasEncoded,
 	}
 	answer.Body = &answerBody{ReadCloser: response.Body, response: response, answer: answer}
 	return answer
--- /dev/null
+++ b/forwarder/budgets.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"sync"
+
+	"github.com/pollencrank/pollencrank/limiter"
+)
+
+// leastConnections is the least number of connections to one server that an
+// instance may open, however many instances there are.
+const leastConnections = 4
+
+// Budgets divides what the fleet may use among its instances. It is safe for
+// concurrent use.
+type Budgets struct {
+	mu        sync.Mutex
+	config    limiter.WindowConfig
+	instances int
+	services  map[string]*limiter.WindowBudget
+}
+
+// NewBudgets returns the budgets of one of several instances.
+func NewBudgets(config limiter.WindowConfig, instances int) *Budgets {
+	return &Budgets{config: config, instances: max(instances, 1), services: map[string]*limiter.WindowBudget{}}
+}
+
+// SetInstances sets the number of instances that share the budgets.
+func (b *Budgets) SetInstances(instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = max(instances, 1)
+	for _, budget := range b.services {
+		budget.SetInstances(b.instances)
+	}
+}
+
+// Of returns the retry budget of a service.
+func (b *Budgets) Of(service string) *limiter.WindowBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.services[service]
+	if budget == nil {
+		budget = limiter.NewWindowBudget(b.config, b.instances)
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// Connections returns this instance's part of the connections that one server
+// accepts from all. It grows in steps, because connections are kept by it.
+func (b *Budgets) Connections(all int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(all/b.instances, leastConnections)
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,295 @@
+// Package forwarder takes a request of a caller to a backend server and brings
+// the answer back.
+//
+// It places the request by its object, chooses among the servers that hold the
+// object by the expected time, refuses at once what would come too late, and
+// sends a request again only if that is safe, within the route's number of
+// attempts and the fleet's budget. An answer is believed only if it is whole,
+// genuine and the one to this request.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.Config{Region: "north", Registrar: registrar, Sender: dispatcher})
+//	answer, err := f.Forward(ctx, &forwarder.Call{Request: request, Route: route})
+//	if pollencrank.IsNotRun(err) {
+//		// The caller may safely repeat the request.
+//	}
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/selector"
+	"github.com/pollencrank/pollencrank/warmer"
+)
+
+const (
+	// bufferedAnswerBytes is the length up to which an answer is read as a whole
+	// before its first byte is passed on, so that a broken one can be repeated.
+	bufferedAnswerBytes = 2 << 20
+	// leastRetryPause and mostRetryPause bound the time after which a refused
+	// caller is asked to come back.
+	leastRetryPause = 150 * time.Millisecond
+	mostRetryPause  = 1500 * time.Millisecond
+	// initialWorkShare is the share of a route's latency objective that the work
+	// of a request takes until answers were observed.
+	initialWorkShare = 3
+	// defaultWork is the work of a request on a route without an objective.
+	defaultWork = 100 * time.Millisecond
+)
+
+// Sender sends a request to a server, like dispatcher.Dispatcher.
+type Sender interface {
+	Send(ctx context.Context, target dispatcher.Target, request *pollencrank.Request) (*pollencrank.Answer, error)
+}
+
+// Config is the configuration of a Forwarder.
+type Config struct {
+	// Region and FailureDomain are this instance's own.
+	Region        string
+	FailureDomain string
+	// Regions is the number of regions that callers come from.
+	Regions   int
+	Registrar *registrar.Registrar
+	Sender    Sender
+	Warmer    *warmer.Warmer
+	Splitter  *router.Splitter
+	Budgets   *Budgets
+	Distances *Distances
+	Log       *slog.Logger
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	config Config
+	work   *selector.WorkTimes
+	memory *selector.Memory
+}
+
+// New returns a Forwarder.
+func New(config Config) *Forwarder {
+	return &Forwarder{config: config, work: selector.NewWorkTimes(), memory: selector.NewMemory()}
+}
+
+// Call is one request with the configuration that it is served under.
+type Call struct {
+	Request *pollencrank.Request
+	Table   *router.Table
+	Route   *router.Route
+	// ObjectKey names the object that the request is about, if any.
+	ObjectKey string
+	// Body is the request's whole body. A longer one is streamed from the
+	// request's Body, and then sent once only.
+	Body []byte
+
+	service router.Service
+	tried   []*registrar.Backend
+}
+
+// Forward returns a server's answer. An error is a NotRunError if the request
+// certainly did not run, and an OutcomeUnknownError otherwise.
+func (f *Forwarder) Forward(ctx context.Context, call *Call) (*pollencrank.Answer, error) {
+	name := f.config.Splitter.Pick(call.Route)
+	call.service = call.Table.Services[name]
+	call.service.Name = name
+	call.Request.Workload = name
+	budget := f.config.Budgets.Of(name)
+	budget.Deposit(time.Now())
+
+	var failure pollencrank.Failure
+	var lastAnswer *pollencrank.Answer
+	for attempt := 1; attempt <= call.Route.MaxAttempts; attempt++ {
+		now := time.Now()
+		backend, err := f.choose(call, now, attempt)
+		if err == nil && attempt > 1 && !budget.Withdraw(now) {
+			err = pollencrank.NotRun(pollencrank.ReasonRetryBudget, "no further attempt is left in the budget")
+		}
+		if err != nil {
+			failure.Add(err)
+			break
+		}
+		answer, err := f.try(ctx, call, backend)
+		if err == nil && !isServerError(answer) {
+			return answer, nil
+		}
+		lastAnswer = answer
+		if err == nil {
+			err = pollencrank.OutcomeUnknown(pollencrank.ReasonServerFailed, "server %s answered with status %d", answer.Server, answer.Status)
+		}
+		failure.Add(err)
+		if !f.mayRepeat(ctx, call, err) {
+			break
+		}
+		f.logRepeat(call, backend, attempt, err)
+	}
+	if lastAnswer != nil {
+		return lastAnswer, nil
+	}
+	return nil, failure.Err()
+}
+
+// isServerError reports whether a repeat at another server may do better.
+func isServerError(answer *pollencrank.Answer) bool { return answer.Status >= 500 }
+
+// mayRepeat reports whether a failed request may be sent to another server.
+func (f *Forwarder) mayRepeat(ctx context.Context, call *Call, err error) bool {
+	if ctx.Err() != nil || !time.Now().Before(call.Request.Deadline) {
+		return false
+	}
+	if call.Body == nil && call.Request.ContentLength != 0 {
+		return false
+	}
+	return call.Route.Kind.MayRepeat() || pollencrank.IsNotRun(err)
+}
+
+func (f *Forwarder) logRepeat(call *Call, backend *registrar.Backend, attempt int, err error) {
+	f.config.Log.Info("the request goes to another server", recorder.EventRequestRepeated.Attr(),
+		slog.String("request", call.Request.ID), slog.String("route", call.Route.Name),
+		slog.String("server", backend.Server().ID), slog.Int("attempt", attempt), slog.Any("error", err))
+}
+
+// try sends the request to one server.
+func (f *Forwarder) try(ctx context.Context, call *Call, backend *registrar.Backend) (*pollencrank.Answer, error) {
+	call.tried = append(call.tried, backend)
+	server := backend.Server()
+	request := *call.Request
+	if call.Body != nil {
+		request.Body = bytes.NewReader(call.Body)
+	}
+	target := dispatcher.Target{
+		Name:           server.ID,
+		Address:        server.Address,
+		MaxConnections: f.config.Budgets.Connections(call.service.MaxConnections),
+	}
+	backend.Begin()
+	started := time.Now()
+	answer, err := f.config.Sender.Send(ctx, target, &request)
+	if err == nil {
+		err = check(answer, &request)
+	}
+	if err == nil {
+		err = readWhole(answer)
+	}
+	backend.End()
+	f.observe(ctx, call, backend, answer, err, time.Since(started))
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// check makes sure that an answer is a server's own and the one to the request.
+// Without it the request may have run.
+func check(answer *pollencrank.Answer, request *pollencrank.Request) error {
+	if answer.RequestID != "" && answer.RequestID != request.ID {
+		_ = answer.Body.Close()
+		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch, "server %s answered request %s", answer.Server, answer.RequestID)
+	}
+	if answer.Status/100 == 2 && !answer.IsGenuine {
+		_ = answer.Body.Close()
+		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch, "the answer of server %s has no proof that it is its own", answer.Server)
+	}
+	return nil
+}
+
+// readWhole reads the body of an answer that is not very long, so that one that
+// breaks off is noticed before anything of it is passed on.
+func readWhole(answer *pollencrank.Answer) error {
+	if answer.ContentLength > bufferedAnswerBytes {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerBytes+1))
+	if err != nil {
+		_ = answer.Body.Close()
+		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerTruncated, "server %s: %v", answer.Server, err)
+	}
+	if len(body) > bufferedAnswerBytes {
+		answer.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
+		return nil
+	}
+	_ = answer.Body.Close()
+	answer.ContentLength = int64(len(body))
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// observe keeps what an attempt showed of its server.
+func (f *Forwarder) observe(ctx context.Context, call *Call, backend *registrar.Backend, answer *pollencrank.Answer, err error, took time.Duration) {
+	now := time.Now()
+	server := backend.Server()
+	if err != nil {
+		f.observeFailure(ctx, backend, err, now)
+		return
+	}
+	if isServerError(answer) {
+		backend.Failed(now)
+		return
+	}
+	key := workKey(call)
+	work := max(took-f.distance(server), time.Millisecond)
+	usual := f.work.Of(key, work)
+	f.work.Observe(key, work)
+	if call.Route.HasAffinity {
+		f.memory.Learn(server.ID, call.objectKey(), now)
+	}
+	if backend.Succeeded(float64(work)/float64(usual), now) {
+		backend.MarkCold(now.Add(call.service.Warmup))
+	}
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
+}
+
+func (f *Forwarder) observeFailure(ctx context.Context, backend *registrar.Backend, err error, now time.Time) {
+	if context.Cause(ctx) == context.Canceled {
+		return
+	}
+	var notRun *pollencrank.NotRunError
+	if !errors.As(err, &notRun) {
+		backend.Failed(now)
+		return
+	}
+	switch notRun.Reason {
+	case pollencrank.ReasonServerReplaced:
+		backend.Misdirected()
+	case pollencrank.ReasonServerUnreachable, pollencrank.ReasonServerFailed:
+		backend.Unreachable(now)
+	default:
+		backend.Failed(now)
+	}
+}
+
+func workKey(call *Call) string { return call.Route.Name + "\x00" + call.service.Name }
+
+// objectKey is what requests are placed by.
+func (c *Call) objectKey() string {
+	if c.ObjectKey == "" || !c.Route.HasAffinity {
+		return c.Request.ID
+	}
+	return c.service.Name + "\x00" + c.ObjectKey
+}
+
+// refusal returns the refusal of a request that would be answered too late.
+func refusal(reason pollencrank.Reason, pause time.Duration, now time.Time, format string, args ...any) error {
+	err := pollencrank.NotRun(reason, format, args...)
+	pause = min(max(pause, leastRetryPause), mostRetryPause)
+	err.RetryAt = now.Add(pause/2 + rand.N(pause))
+	return err
+}
--- /dev/null
+++ b/hoster/follow.go
@@ -0,0 +1,105 @@
+package hoster
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+const (
+	// shortWait is the wait of the watch that notices a silent store.
+	shortWait = 2500 * time.Millisecond
+	// longWait is the wait of the other watches.
+	longWait = 15 * time.Second
+)
+
+// newFollows makes the loops that follow the store. That of the configuration
+// is the one that notices outages.
+func (h *Hoster) newFollows() {
+	log := h.config.Log
+	h.follows.configurations = follower.New(follower.Config[router.Configuration]{
+		Name: "configuration", Source: h.config.Configurations, Handler: configurationHandler{h},
+		Wait: shortWait, OnLost: h.storeLost, OnRegained: h.storeRegained, Log: log,
+	})
+	h.follows.servers = follower.New(follower.Config[registrar.Server]{
+		Name: "servers", Source: h.config.Servers, Handler: serverHandler{Handler: h.registrar.Servers(), h: h},
+		Wait: longWait, OnLost: h.storeLost, OnRegained: h.storeRegained, Log: log,
+	})
+	h.follows.evacuations = follower.New(follower.Config[registrar.Evacuation]{
+		Name: "evacuations", Source: h.config.Evacuations, Handler: h.registrar.Evacuations(),
+		Wait: longWait, Log: log,
+	})
+	h.follows.instances = follower.New(follower.Config[namer.Instance]{
+		Name: "instances", Source: h.config.Instances, Handler: h.roster,
+		Wait: longWait, Log: log,
+	})
+}
+
+func (h *Hoster) followStore() {
+	ctx := h.tomb.Context(nil)
+	h.tomb.Go(func() error { return h.follows.configurations.Run(ctx) })
+	h.tomb.Go(func() error { return h.follows.servers.Run(ctx) })
+	h.tomb.Go(func() error { return h.follows.evacuations.Run(ctx) })
+	h.tomb.Go(func() error { return h.follows.instances.Run(ctx) })
+}
+
+func (h *Hoster) storeLost() {
+	h.storeIsLost.Store(true)
+	h.registrar.StoreLost()
+}
+
+// storeRegained renews the watches that may have been forgotten in an outage.
+func (h *Hoster) storeRegained() {
+	h.storeIsLost.Store(false)
+	h.registrar.StoreRegained()
+	h.follows.servers.Interrupt()
+	h.follows.evacuations.Interrupt()
+	h.follows.instances.Interrupt()
+}
+
+// configurationHandler puts configurations in force.
+type configurationHandler struct{ h *Hoster }
+
+// Reset implements follower.Handler.
+func (c configurationHandler) Reset(items []follower.Item[router.Configuration]) { c.Apply(items) }
+
+// Apply implements follower.Handler. An older configuration never replaces a
+// newer one, and a malformed or missing one changes nothing.
+func (c configurationHandler) Apply(items []follower.Item[router.Configuration]) {
+	for _, item := range items {
+		if item.Removed {
+			continue
+		}
+		current := c.h.table.Load()
+		if current != nil && item.Value.Version <= current.Version {
+			if item.Value.Version < current.Version {
+				c.h.config.Log.Warn("an older configuration is ignored", recorder.EventConfigurationStale.Attr(),
+					slog.Uint64("version", item.Value.Version), slog.Uint64("inForce", current.Version))
+			}
+			continue
+		}
+		table := router.NewTable(item.Value)
+		c.h.table.Store(table)
+		c.h.splitter.Keep(table)
+		c.h.config.Log.Info("a configuration is in force", recorder.EventConfigurationInForce.Attr(),
+			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)))
+	}
+}
+
+// serverHandler notes that the servers are known.
+type serverHandler struct {
+	follower.Handler[registrar.Server]
+	h *Hoster
+}
+
+// Reset implements follower.Handler.
+func (s serverHandler) Reset(items []follower.Item[registrar.Server]) {
+	s.Handler.Reset(items)
+	s.h.hasServers.Store(true)
+	s.h.wakeRegister()
+}
--- /dev/null
+++ b/hoster/hoster.go
@@ -0,0 +1,230 @@
+// Package hoster assembles an instance that is hosted on a platform: what it
+// learns from the platform's store, the requests and look-ups that it answers,
+// and its planned stop.
+//
+// # Usage
+//
+//	h, err := hoster.New(hoster.Config{Self: self, Servers: servers, ...})
+//	if err != nil {
+//		return err
+//	}
+//	err = h.Run(ctx)
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/limiter"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/prober"
+	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/relayer"
+	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/warmer"
+)
+
+// Dialect is how a deployment uses headers, towards callers and servers.
+type Dialect interface {
+	dispatcher.Dialect
+	relayer.Dialect
+}
+
+// Registry writes the entries of instances in the platform's store.
+type Registry interface {
+	Register(ctx context.Context, instance namer.Instance) error
+	// Remove removes an entry. A revision other than zero must still be its own.
+	Remove(ctx context.Context, id string, revision uint64) error
+}
+
+// Lookups is how a deployment's callers ask where to connect.
+type Lookups struct {
+	LookupPath string
+	ReadyPath  string
+	Read       func(r *http.Request) namer.Caller
+	Write      func(w http.ResponseWriter, named []namer.Instance, lifetime time.Duration) error
+}
+
+// Listeners are the sockets of an instance.
+type Listeners struct {
+	Callers net.Listener
+	Ready   net.Listener
+	Lookups net.Listener
+	Peers   net.Listener
+	Metrics net.Listener
+}
+
+// Config is the configuration of a Hoster.
+type Config struct {
+	Self      namer.Instance
+	RegionOf  map[string]string
+	Listeners Listeners
+	Dialect   Dialect
+	Lookups   Lookups
+	Registry  Registry
+
+	Servers        follower.Source[registrar.Server]
+	Configurations follower.Source[router.Configuration]
+	Evacuations    follower.Source[registrar.Evacuation]
+	Instances      follower.Source[namer.Instance]
+
+	Retries limiter.WindowConfig
+	// StopGrace is the time between the request to stop and the kill.
+	StopGrace time.Duration
+	// LookupLifetime is the longest that callers may keep a look-up's answer.
+	LookupLifetime time.Duration
+	Log            *slog.Logger
+}
+
+// Hoster is one hosted instance.
+type Hoster struct {
+	config    Config
+	tomb      tomb.Tomb
+	table     atomic.Pointer[router.Table]
+	splitter  *router.Splitter
+	registrar *registrar.Registrar
+	warmer    *warmer.Warmer
+	budgets   *forwarder.Budgets
+	distances *forwarder.Distances
+	relayer   *relayer.Relayer
+	idles     *relayer.IdleCloser
+	prober    *prober.Prober
+	roster    *roster
+	follows   follows
+
+	hasServers  atomic.Bool
+	isStopping  atomic.Bool
+	storeIsLost atomic.Bool
+	// registerNow wakes the loop that writes the instance's own entry.
+	registerNow chan struct{}
+}
+
+// follows are the loops that follow the store.
+type follows struct {
+	configurations *follower.Follower[router.Configuration]
+	servers        *follower.Follower[registrar.Server]
+	evacuations    *follower.Follower[registrar.Evacuation]
+	instances      *follower.Follower[namer.Instance]
+}
+
+// New assembles an instance.
+func New(config Config) (*Hoster, error) {
+	h := &Hoster{
+		config:      config,
+		splitter:    router.NewSplitter(),
+		warmer:      warmer.New(config.Self.ID),
+		budgets:     forwarder.NewBudgets(config.Retries, len(config.RegionOf)),
+		distances:   forwarder.NewDistances(config.Self.Region),
+		idles:       relayer.NewIdleCloser(),
+		registerNow: make(chan struct{}, 1),
+	}
+	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
+	h.roster = newRoster(h)
+	h.prober = prober.New(prober.Config{
+		Self:     config.Self.ID,
+		Ask:      newAsker().ask,
+		OnDead:   h.removeDead,
+		OnChange: h.roster.publish,
+		Log:      config.Log,
+	})
+	h.relayer = relayer.New(relayer.Config{
+		Table:     h.table.Load,
+		Forwarder: h.newForwarder(),
+		Dialect:   config.Dialect,
+		Log:       config.Log,
+	})
+	h.newFollows()
+	return h, nil
+}
+
+func (h *Hoster) newForwarder() *forwarder.Forwarder {
+	sender := dispatcher.New(dispatcher.Config{
+		DialContext: h.dial,
+		Dialect:     h.config.Dialect,
+		OnReport:    h.report,
+		IdleTimeout: serverIdleTimeout,
+	})
+	regions := map[string]bool{}
+	for _, region := range h.config.RegionOf {
+		regions[region] = true
+	}
+	return forwarder.New(forwarder.Config{
+		Region:        h.config.Self.Region,
+		FailureDomain: h.config.Self.FailureDomain,
+		Regions:       len(regions),
+		Registrar:     h.registrar,
+		Sender:        sender,
+		Warmer:        h.warmer,
+		Splitter:      h.splitter,
+		Budgets:       h.budgets,
+		Distances:     h.distances,
+		Log:           h.config.Log,
+	})
+}
+
+// warmup returns how long a server of a service stays cold after a start.
+func (h *Hoster) warmup(service string) time.Duration {
+	table := h.table.Load()
+	if table == nil {
+		return 0
+	}
+	return table.Services[service].Warmup
+}
+
+// Run runs the instance until ctx ends and then performs a planned stop.
+func (h *Hoster) Run(ctx context.Context) error {
+	h.config.Log.Info("the instance has started", recorder.EventStarted.Attr(),
+		slog.String("instance", h.config.Self.ID), slog.String("failureDomain", h.config.Self.FailureDomain),
+		slog.String("region", h.config.Self.Region), slog.String("callers", h.config.Self.CallerAddress))
+	callers := &http.Server{
+		Handler:           h.relayer,
+		ConnState:         h.idles.Track,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(h.config.Log.Handler(), slog.LevelDebug),
+	}
+	h.serve(callers, h.config.Listeners.Callers)
+	h.serve(&http.Server{Handler: h.readyHandler()}, h.config.Listeners.Ready)
+	h.serve(&http.Server{Handler: h.lookupHandler()}, h.config.Listeners.Lookups)
+	h.serve(&http.Server{Handler: h.peerHandler()}, h.config.Listeners.Peers)
+	h.serve(&http.Server{Handler: metricsHandler()}, h.config.Listeners.Metrics)
+	h.followStore()
+	h.tomb.Go(h.register)
+	h.tomb.Go(h.sweep)
+	h.tomb.Go(func() error { return h.prober.Run(h.tomb.Context(nil)) })
+	select {
+	case <-h.tomb.Dying():
+		return h.tomb.Err()
+	case <-ctx.Done():
+	}
+	h.stop(callers)
+	return nil
+}
+
+// serve answers on a listener until the instance ends.
+func (h *Hoster) serve(server *http.Server, listener net.Listener) {
+	h.tomb.Go(func() error {
+		err := server.Serve(listener)
+		if err != nil && err != http.ErrServerClosed {
+			return fmt.Errorf("listener %s: %w", listener.Addr(), err)
+		}
+		<-h.tomb.Dying()
+		return nil
+	})
+}
+
+// isReady reports whether the instance can serve callers.
+func (h *Hoster) isReady() bool {
+	return h.table.Load() != nil && h.hasServers.Load() && !h.isStopping.Load()
+}
--- /dev/null
+++ b/hoster/roster.go
@@ -0,0 +1,124 @@
+package hoster
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+// roster keeps the instances that the store lists, and publishes those that
+// take requests. It is safe for concurrent use.
+type roster struct {
+	h       *Hoster
+	serving atomic.Pointer[[]namer.Instance]
+
+	mu     sync.Mutex
+	listed map[string]listedInstance
+}
+
+type listedInstance struct {
+	namer.Instance
+	revision uint64
+}
+
+func newRoster(h *Hoster) *roster {
+	r := &roster{h: h, listed: map[string]listedInstance{}}
+	r.serving.Store(&[]namer.Instance{})
+	return r
+}
+
+// Reset implements follower.Handler.
+func (r *roster) Reset(items []follower.Item[namer.Instance]) {
+	r.mu.Lock()
+	clear(r.listed)
+	r.mu.Unlock()
+	r.Apply(items)
+}
+
+// Apply implements follower.Handler.
+func (r *roster) Apply(items []follower.Item[namer.Instance]) {
+	r.mu.Lock()
+	for _, item := range items {
+		if item.Removed {
+			delete(r.listed, item.Name)
+			continue
+		}
+		r.listed[item.Name] = listedInstance{Instance: item.Value, revision: item.Revision}
+	}
+	all := make([]namer.Instance, 0, len(r.listed))
+	for _, i := range r.listed {
+		all = append(all, i.Instance)
+	}
+	own, known := r.listed[r.h.config.Self.ID]
+	r.mu.Unlock()
+
+	r.h.prober.SetInstances(all)
+	r.publish()
+	if !known || own.Incarnation != r.h.config.Self.Incarnation {
+		r.h.wakeRegister()
+	}
+}
+
+// publish works out which instances take requests.
+func (r *roster) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var serving []namer.Instance
+	for _, i := range r.listed {
+		if i.ID != r.h.config.Self.ID && !r.h.prober.IsDead(i.Instance) {
+			serving = append(serving, i.Instance)
+		}
+	}
+	if !r.h.isStopping.Load() {
+		serving = append(serving, r.h.config.Self)
+	}
+	slices.SortFunc(serving, func(a, b namer.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	r.serving.Store(&serving)
+	ids := make([]string, 0, len(serving))
+	for _, i := range serving {
+		ids = append(ids, i.ID)
+	}
+	r.h.warmer.SetInstances(ids)
+	r.h.budgets.SetInstances(max(len(r.listed), len(ids)))
+}
+
+// revisionOf returns the revision of an incarnation's entry, if it is listed.
+func (r *roster) revisionOf(i namer.Instance) (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed, known := r.listed[i.ID]
+	return listed.revision, known && listed.Incarnation == i.Incarnation
+}
+
+// isRegistered reports whether this instance's own entry is in the store.
+func (r *roster) isRegistered() bool {
+	_, known := r.revisionOf(r.h.config.Self)
+	return known
+}
+
+// removeDead removes the entry of an instance that does not answer. It stays if
+// it was written anew meanwhile.
+func (h *Hoster) removeDead(ctx context.Context, i namer.Instance) {
+	revision, known := h.roster.revisionOf(i)
+	if !known || h.storeIsLost.Load() {
+		return
+	}
+	if err := h.config.Registry.Remove(ctx, i.ID, revision); err != nil {
+		h.config.Log.Warn("the entry of a dead instance was not removed", recorder.EventInstanceGone.Attr(),
+			slog.String("instance", i.ID), slog.Any("error", err))
+	}
+}
+
+func (h *Hoster) wakeRegister() {
+	select {
+	case h.registerNow <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/hoster/serve.go
@@ -0,0 +1,207 @@
+package hoster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/prober"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// lookupLifetime is how long callers may keep the answer to a look-up.
+	lookupLifetime = 1500 * time.Millisecond
+	// serverDialTimeout bounds the opening of a connection to a server.
+	serverDialTimeout = 600 * time.Millisecond
+	// serverIdleTimeout is how long an idle connection to a server is kept.
+	serverIdleTimeout = 8 * time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// optionUserTimeout is TCP_USER_TIMEOUT, which package syscall lacks.
+	optionUserTimeout = 0x12
+	sweepInterval     = 500 * time.Millisecond
+	// defaultIdleLimit holds for callers' connections without a configuration.
+	defaultIdleLimit = 60 * time.Second
+)
+
+// peerPath is where instances tell each other their state.
+const peerPath = "/state"
+
+// dial opens a connection to a server and learns its distance.
+func (h *Hoster) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: serverDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(descriptor uintptr) {
+				// A platform without the option still has the other time-outs.
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, optionUserTimeout, int(userTimeout.Milliseconds()))
+			})
+		},
+	}
+	started := time.Now()
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(started)
+	for _, b := range h.registrar.All() {
+		if s := b.Server(); s.Address == address {
+			h.distances.Observe(forwarder.Place{Region: s.Region, FailureDomain: s.FailureDomain}, took)
+			break
+		}
+	}
+	return conn, nil
+}
+
+// report takes what a server says of itself.
+func (h *Hoster) report(target dispatcher.Target, report dispatcher.Report) {
+	now := time.Now()
+	for _, b := range h.registrar.All() {
+		if b.Server().ID != target.Name {
+			continue
+		}
+		if report.HasLoad {
+			b.Report(report.Running, report.Waiting, now)
+		}
+		if report.ColdFor > 0 {
+			b.MarkCold(now.Add(report.ColdFor))
+		}
+		return
+	}
+}
+
+func (h *Hoster) readyHandler() http.Handler {
+	routes := bunrouter.New()
+	routes.GET(h.config.Lookups.ReadyPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		if !h.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return nil
+	})
+	return routes
+}
+
+// lookupHandler answers callers that ask where to connect, from what is known.
+func (h *Hoster) lookupHandler() http.Handler {
+	routes := bunrouter.New()
+	routes.GET(h.config.Lookups.LookupPath, func(w http.ResponseWriter, r bunrouter.Request) error {
+		caller := h.config.Lookups.Read(r.Request)
+		named := namer.Choose(*h.roster.serving.Load(), caller)
+		if len(named) == 0 {
+			named = []namer.Instance{h.config.Self}
+		}
+		return h.config.Lookups.Write(w, named, min(lookupLifetime, h.config.LookupLifetime))
+	})
+	return routes
+}
+
+// peerState is what instances tell each other.
+type peerState struct {
+	Incarnation uint64 `json:"incarnation,string"`
+	IsStopping  bool   `json:"isStopping"`
+}
+
+func (h *Hoster) peerHandler() http.Handler {
+	routes := bunrouter.New()
+	routes.GET(peerPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return json.NewEncoder(w).Encode(peerState{Incarnation: h.config.Self.Incarnation, IsStopping: h.isStopping.Load()})
+	})
+	return routes
+}
+
+// asker asks other instances for their state.
+type asker struct{ client *http.Client }
+
+func newAsker() *asker {
+	return &asker{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}}
+}
+
+func (a *asker) ask(ctx context.Context, i namer.Instance) (prober.State, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.PeerAddress+peerPath, nil)
+	if err != nil {
+		return prober.State{}, err
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return prober.State{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return prober.State{}, fmt.Errorf("instance %s: status %d", i.ID, response.StatusCode)
+	}
+	var state peerState
+	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+		return prober.State{}, fmt.Errorf("instance %s: %w", i.ID, err)
+	}
+	return prober.State(state), nil
+}
+
+func metricsHandler() http.Handler {
+	routes := bunrouter.New()
+	routes.GET("/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		metrics.WritePrometheus(w, true)
+		return nil
+	})
+	return routes
+}
+
+// sweep closes idle connections and forgets servers that did not return.
+func (h *Hoster) sweep() error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			limit := defaultIdleLimit
+			if table := h.table.Load(); table != nil && table.Limits.IdleTimeout > 0 {
+				limit = table.Limits.IdleTimeout
+			}
+			h.idles.Sweep(limit, now)
+			h.registrar.Expire()
+		}
+	}
+}
+
+// register writes the instance's own entry whenever the store lacks it.
+func (h *Hoster) register() error {
+	const pause = 400 * time.Millisecond
+	ctx := h.tomb.Context(nil)
+	for {
+		select {
+		case <-h.tomb.Dying():
+			return nil
+		case <-h.registerNow:
+		}
+		for h.isReady() && !h.roster.isRegistered() {
+			if err := h.config.Registry.Register(ctx, h.config.Self); err != nil {
+				h.config.Log.Warn("the instance's entry was not written", recorder.EventRegistrationFailed.Attr(), slog.Any("error", err))
+			} else {
+				h.config.Log.Info("the instance serves callers", recorder.EventReady.Attr())
+			}
+			select {
+			case <-h.tomb.Dying():
+				return nil
+			case <-time.After(pause):
+			}
+		}
+	}
+}
--- a/outcome.go
+++ b/outcome.go
@@ -39,6 +39,8 @@
 	ReasonSuspect            Reason = "suspectedOfCrashingServers"
 	ReasonConvicted          Reason = "crashesServers"
 	ReasonNotReady           Reason = "notReady"
+	ReasonServerReplaced     Reason = "serverReplaced"
+	ReasonAnswerMismatch     Reason = "answerOfAnotherRequest"
 	ReasonTooManyConnections Reason = "tooManyRequests"
 )
 
--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,198 @@
+// Package prober notices instances that have died, so that look-ups do not name
+// them.
+//
+// Each instance asks a few others, the next ones in a ring of all instances,
+// whether they are alive. One that did not answer several times in a row is left
+// out of this instance's own answers at once, and its entry is removed from the
+// platform's store, which tells everybody. An instance that lives and finds its
+// entry gone writes it again. The work of an instance does not grow with the
+// fleet.
+//
+// # Usage
+//
+//	p := prober.New(prober.Config{Self: self, Ask: ask, OnDead: remove})
+//	p.SetInstances(instances)
+//	err := p.Run(ctx)
+package prober
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+const (
+	// neighbours is the number of instances that one instance asks.
+	neighbours = 8
+	// interval is the pause between two questions to the same instance.
+	interval = 900 * time.Millisecond
+	// askTimeout bounds one question.
+	askTimeout = 700 * time.Millisecond
+	// deadAfter is the number of unanswered questions in a row after which an
+	// instance counts as dead.
+	deadAfter = 3
+)
+
+// State is what an instance says of itself.
+type State struct {
+	Incarnation uint64
+	// IsStopping says that the instance performs a planned stop.
+	IsStopping bool
+}
+
+// Config is the configuration of a Prober.
+type Config struct {
+	// Self is the ID of this instance.
+	Self string
+	// Ask asks an instance for its state.
+	Ask func(ctx context.Context, instance namer.Instance) (State, error)
+	// OnDead is told of instances that do not answer, or that stop.
+	OnDead func(ctx context.Context, instance namer.Instance)
+	// OnChange is told whenever the set of the dead has changed.
+	OnChange func()
+	Log      *slog.Logger
+}
+
+// Prober asks instances whether they are alive.
+type Prober struct {
+	config Config
+
+	mu        sync.Mutex
+	instances []namer.Instance
+	misses    map[string]int
+	dead      map[string]uint64
+}
+
+// New returns a Prober.
+func New(config Config) *Prober {
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}}
+}
+
+// SetInstances sets the instances of the fleet. A new incarnation of a dead
+// instance is alive.
+func (p *Prober) SetInstances(instances []namer.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = slices.Clone(instances)
+	slices.SortFunc(p.instances, func(a, b namer.Instance) int { return strings.Compare(a.ID, b.ID) })
+	known := map[string]bool{}
+	for _, i := range instances {
+		known[i.ID] = true
+		if incarnation, dead := p.dead[i.ID]; dead && incarnation != i.Incarnation {
+			delete(p.dead, i.ID)
+			delete(p.misses, i.ID)
+		}
+	}
+	for id := range p.misses {
+		if !known[id] {
+			delete(p.misses, id)
+		}
+	}
+	for id := range p.dead {
+		if !known[id] {
+			delete(p.dead, id)
+		}
+	}
+}
+
+// IsDead reports whether an incarnation of an instance counts as dead.
+func (p *Prober) IsDead(i namer.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	incarnation, dead := p.dead[i.ID]
+	return dead && incarnation == i.Incarnation
+}
+
+// Run asks until ctx ends.
+func (p *Prober) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for _, i := range p.next() {
+			go p.ask(ctx, i)
+		}
+	}
+}
+
+// next returns the instances after this one in the ring: as many living ones as
+// it watches, and the dead ones between them, which may have returned.
+func (p *Prober) next() []namer.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start, _ := slices.BinarySearchFunc(p.instances, p.config.Self, func(i namer.Instance, id string) int {
+		return strings.Compare(i.ID, id)
+	})
+	var asked []namer.Instance
+	living := 0
+	for offset := range p.instances {
+		i := p.instances[(start+offset)%len(p.instances)]
+		if i.ID == p.config.Self {
+			continue
+		}
+		if _, dead := p.dead[i.ID]; !dead {
+			living++
+		}
+		asked = append(asked, i)
+		if living >= neighbours {
+			break
+		}
+	}
+	return asked
+}
+
+func (p *Prober) ask(ctx context.Context, i namer.Instance) {
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	state, err := p.config.Ask(askCtx, i)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil && state.Incarnation == i.Incarnation && !state.IsStopping {
+		p.answered(i)
+		return
+	}
+	p.missed(ctx, i, err == nil && state.IsStopping)
+}
+
+func (p *Prober) answered(i namer.Instance) {
+	p.mu.Lock()
+	delete(p.misses, i.ID)
+	_, wasDead := p.dead[i.ID]
+	delete(p.dead, i.ID)
+	p.mu.Unlock()
+	if wasDead {
+		p.config.OnChange()
+	}
+}
+
+// missed counts an unanswered question. An instance that says that it stops
+// counts as gone at once.
+func (p *Prober) missed(ctx context.Context, i namer.Instance, isStopping bool) {
+	p.mu.Lock()
+	p.misses[i.ID]++
+	misses := p.misses[i.ID]
+	incarnation, known := p.dead[i.ID]
+	isNews := (misses >= deadAfter || isStopping) && (!known || incarnation != i.Incarnation)
+	if isNews {
+		p.dead[i.ID] = i.Incarnation
+	}
+	p.mu.Unlock()
+	if !isNews {
+		return
+	}
+	p.config.Log.Warn("an instance does not answer", recorder.EventInstanceGone.Attr(),
+		slog.String("instance", i.ID), slog.Bool("stopping", isStopping), slog.Int("misses", misses))
+	p.config.OnChange()
+	p.config.OnDead(ctx, i)
+}
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -49,6 +49,18 @@
 	EventPlanRefused           Event = 1802
 	EventLeaseAcquired         Event = 1803
 	EventLeaseLost             Event = 1804
+	EventObjectMalformed       Event = 1901
+	EventHistoryGone           Event = 1902
+	EventDomainEvacuated       Event = 1903
+	EventDomainTakenBack       Event = 1904
+	EventInstanceGone          Event = 1905
+	EventSettingsReloaded      Event = 1906
+	EventSettingsInvalid       Event = 1907
+	EventRequestRepeated       Event = 1908
+	EventRequestFinished       Event = 1909
+	EventLinesDropped          Event = 1910
+	EventRegistrationFailed    Event = 1911
+	EventConfigurationStale    Event = 1912
 )
 
 // Description says what an event means. It is the text of docs/EVENTS.md.
@@ -93,6 +105,18 @@
 		{EventPlanRefused, slog.LevelInfo, "A plan that this instance made was not accepted; the one in force stays."},
 		{EventLeaseAcquired, slog.LevelInfo, "This instance makes plans from now on."},
 		{EventLeaseLost, slog.LevelWarn, "Another instance makes plans, although this one's lease has not passed."},
+		{EventObjectMalformed, slog.LevelWarn, "An object of the platform's store cannot be decoded and is left out."},
+		{EventHistoryGone, slog.LevelWarn, "Changes of the store were lost; the collection is listed again."},
+		{EventDomainEvacuated, slog.LevelInfo, "The operator empties a failure domain; its servers get nothing."},
+		{EventDomainTakenBack, slog.LevelInfo, "A failure domain is in use again; its servers count as cold at first."},
+		{EventInstanceGone, slog.LevelWarn, "An instance does not answer this one any more; look-ups do not name it."},
+		{EventSettingsReloaded, slog.LevelInfo, "Changed settings are in force."},
+		{EventSettingsInvalid, slog.LevelError, "Changed settings are faulty; the previous ones stay."},
+		{EventRequestRepeated, slog.LevelInfo, "An attempt failed and the request goes to another backend server."},
+		{EventRequestFinished, slog.LevelDebug, "A request was answered; a sample of all of them."},
+		{EventLinesDropped, slog.LevelWarn, "Log lines were dropped because too many were written; count says how many."},
+		{EventRegistrationFailed, slog.LevelWarn, "The instance's own entry in the store could not be written; it is tried again."},
+		{EventConfigurationStale, slog.LevelWarn, "A configuration older than the one in force was read and is ignored."},
 	}
 }
 
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,303 @@
+// Package relayer takes the requests of callers and gives them their answers.
+//
+// Every answer of its own says truthfully what became of the request: a status
+// that promises "not run" is sent only with proof, and a request whose outcome
+// is unknown is answered so at its deadline.
+//
+// # Usage
+//
+//	r := relayer.New(relayer.Config{Table: table.Load, Forwarder: forwarder, Dialect: dialect})
+//	server := &http.Server{Handler: r}
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+const (
+	// bufferedBodyBytes is the length up to which a request's body is kept, so
+	// that the request can be sent again.
+	bufferedBodyBytes = 256 << 10
+	// defaultPatience is how long a caller waits that does not say.
+	defaultPatience = 30 * time.Second
+	// startPause is when a caller may come back to an instance that has no
+	// configuration yet.
+	startPause = 300 * time.Millisecond
+	// sampledShare is the share of answered requests that is logged, as one in
+	// so many.
+	sampledShare = 100
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// CallerHeaders is what a caller says in the headers of a request.
+type CallerHeaders struct {
+	RequestID string
+	// ObjectKey names the object that the request is about.
+	ObjectKey string
+	// Patience is how long the caller waits. Zero means that it does not say.
+	Patience time.Duration
+}
+
+// Dialect is how the callers of a deployment use headers.
+type Dialect interface {
+	// ReadCaller reads the headers of a request.
+	ReadCaller(header http.Header) CallerHeaders
+	// MarkAnswer adds to an answer of the system's own which request it is for.
+	MarkAnswer(header http.Header, requestID string)
+	// SetRetryAfter tells a caller when to come back.
+	SetRetryAfter(header http.Header, pause time.Duration)
+}
+
+// Forwarder takes a request to a backend server.
+type Forwarder interface {
+	Forward(ctx context.Context, call *forwarder.Call) (*pollencrank.Answer, error)
+}
+
+// Config is the configuration of a Relayer.
+type Config struct {
+	// Table returns the routes in force, or nil before there are any.
+	Table     func() *router.Table
+	Forwarder Forwarder
+	Dialect   Dialect
+	Log       *slog.Logger
+}
+
+// Relayer is an http.Handler for the requests of callers.
+type Relayer struct {
+	config   Config
+	inFlight atomic.Int64
+	answered atomic.Uint64
+	// isStopping closes every connection after its next answer; isClosed
+	// refuses what comes then.
+	isStopping atomic.Bool
+	isClosed   atomic.Bool
+}
+
+// New returns a Relayer.
+func New(config Config) *Relayer { return &Relayer{config: config} }
+
+// Stop closes every connection after its next answer.
+func (r *Relayer) Stop() { r.isStopping.Store(true) }
+
+// Close refuses the requests that come from now on.
+func (r *Relayer) Close() { r.isClosed.Store(true) }
+
+// InFlight returns the number of requests that are not answered yet.
+func (r *Relayer) InFlight() int { return int(r.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
+	started := time.Now()
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	if r.isStopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	headers := r.config.Dialect.ReadCaller(incoming.Header)
+	call, err := r.admit(incoming, headers, started)
+	if err != nil {
+		r.refuse(w, call, headers, err, started)
+		return
+	}
+	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
+	defer cancel()
+	answer, err := r.config.Forwarder.Forward(ctx, call)
+	if err != nil {
+		r.refuse(w, call, headers, err, started)
+		return
+	}
+	defer answer.Body.Close()
+	r.send(w, answer)
+	r.finish(call, answer, started)
+}
+
+// admit applies the rules of the request's route.
+func (r *Relayer) admit(incoming *http.Request, headers CallerHeaders, now time.Time) (*forwarder.Call, error) {
+	table := r.config.Table()
+	if table == nil {
+		return nil, refusal(pollencrank.ReasonNotReady, now, "no configuration yet")
+	}
+	if r.isClosed.Load() {
+		return nil, refusal(pollencrank.ReasonStopping, now, "the instance stops")
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	if route == nil {
+		return nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
+	}
+	patience := headers.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	call := &forwarder.Call{
+		Table:     table,
+		Route:     route,
+		ObjectKey: headers.ObjectKey,
+		Request: &pollencrank.Request{
+			ID:            headers.RequestID,
+			Deadline:      now.Add(patience),
+			Idempotent:    route.Kind.MayRepeat(),
+			Generation:    pollencrank.Generation(table.Version),
+			Method:        incoming.Method,
+			Host:          incoming.Host,
+			URI:           incoming.RequestURI,
+			Header:        passOn(incoming.Header),
+			ContentLength: incoming.ContentLength,
+		},
+	}
+	return call, readBody(call, incoming, table.Limits.MaxBodyBytes)
+}
+
+func refusal(reason pollencrank.Reason, now time.Time, format string, args ...any) error {
+	err := pollencrank.NotRun(reason, format, args...)
+	err.RetryAt = now.Add(startPause)
+	return err
+}
+
+// readBody reads the body of a request that is not very long, so that it can be
+// sent again.
+func readBody(call *forwarder.Call, incoming *http.Request, limit int64) error {
+	if limit > 0 && incoming.ContentLength > limit {
+		return pollencrank.NotRun(pollencrank.ReasonTooLarge, "%d bytes exceed the limit of %d", incoming.ContentLength, limit)
+	}
+	if incoming.ContentLength == 0 {
+		return nil
+	}
+	if incoming.ContentLength > bufferedBodyBytes {
+		call.Request.Body = incoming.Body
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, bufferedBodyBytes+1))
+	if err != nil {
+		return pollencrank.NotRun(pollencrank.ReasonMalformed, "the request's body broke off: %v", err)
+	}
+	if len(body) > bufferedBodyBytes {
+		call.Request.Body = io.MultiReader(strings.NewReader(string(body)), incoming.Body)
+		return nil
+	}
+	call.Body = body
+	call.Request.ContentLength = int64(len(body))
+	return nil
+}
+
+// passOn returns the headers that concern the request and not its connection.
+func passOn(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		passed.Del(name)
+	}
+	return passed
+}
+
+// send passes an answer on.
+func (r *Relayer) send(w http.ResponseWriter, answer *pollencrank.Answer) {
+	header := w.Header()
+	for name, values := range passOn(answer.Header) {
+		header[name] = values
+	}
+	if answer.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	w.WriteHeader(answer.Status)
+	if _, err := io.Copy(w, answer.Body); err != nil {
+		r.config.Log.Warn("an answer broke off", recorder.EventAnswerTruncated.Attr(),
+			slog.String("request", answer.RequestID), slog.String("server", answer.Server), slog.Any("error", err))
+		// The connection is cut, so that the caller sees an incomplete answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse answers a request that no server answered.
+func (r *Relayer) refuse(w http.ResponseWriter, call *forwarder.Call, headers CallerHeaders, err error, started time.Time) {
+	status, reason, retryAt := describe(err)
+	r.config.Dialect.MarkAnswer(w.Header(), headers.RequestID)
+	if status == http.StatusServiceUnavailable && retryAt.IsZero() {
+		retryAt = time.Now().Add(startPause)
+	}
+	if !retryAt.IsZero() {
+		r.config.Dialect.SetRetryAfter(w.Header(), max(time.Until(retryAt), 0))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, string(reason)+"\n")
+	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_refusals_total{reason=%q,status="%d"}`, reason, status)).Inc()
+	event := recorder.EventRequestRefused
+	if !pollencrank.IsNotRun(err) {
+		event = recorder.EventOutcomeUnknown
+	}
+	attributes := []any{
+		event.Attr(), slog.String("request", headers.RequestID), slog.Int("status", status), slog.Any("error", err),
+		slog.Duration("took", time.Since(started)),
+	}
+	if call != nil {
+		attributes = append(attributes, slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version))
+	}
+	r.config.Log.Info("the request was not answered by a server", attributes...)
+}
+
+// describe returns the status of an error, its reason and when to come back.
+func describe(err error) (int, pollencrank.Reason, time.Time) {
+	var notRun *pollencrank.NotRunError
+	if errors.As(err, &notRun) {
+		return notRunStatus(notRun.Reason), notRun.Reason, notRun.RetryAt
+	}
+	var unknown *pollencrank.OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		if unknown.Reason == pollencrank.ReasonDeadlinePassed {
+			return http.StatusGatewayTimeout, unknown.Reason, time.Time{}
+		}
+		return http.StatusBadGateway, unknown.Reason, time.Time{}
+	}
+	return http.StatusBadGateway, pollencrank.ReasonServerFailed, time.Time{}
+}
+
+func notRunStatus(reason pollencrank.Reason) int {
+	switch reason {
+	case pollencrank.ReasonNoRoute:
+		return http.StatusNotFound
+	case pollencrank.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case pollencrank.ReasonMalformed:
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+func (r *Relayer) finish(call *forwarder.Call, answer *pollencrank.Answer, started time.Time) {
+	took := time.Since(started)
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_answer_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
+	if answer.Status < 500 && r.answered.Add(1)%sampledShare != 0 {
+		return
+	}
+	r.config.Log.Info("the request was answered", recorder.EventRequestFinished.Attr(),
+		slog.String("request", call.Request.ID), slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version),
+		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.Duration("took", took))
+}
--- a/request.go
+++ b/request.go
@@ -9,6 +9,8 @@
 
 // Request is one request of a caller on its way to a backend server.
 type Request struct {
+	// ID identifies the request where callers give it one.
+	ID         string
 	Workload   string
 	Rank       Rank
 	Deadline   time.Time
@@ -37,7 +39,12 @@
 	Header        http.Header
 	ContentLength int64
 	Server        string
-	Body          io.ReadCloser
+	// RequestID is the request that the server says it answers, if it does.
+	RequestID string
+	// IsGenuine says that the answer bears the proof that it is the server's
+	// own, where servers give one.
+	IsGenuine bool
+	Body      io.ReadCloser
 	// Trailer is filled in by the time Body returns io.EOF.
 	Trailer http.Header
 }
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,146 @@
+// Package router finds the route of a request and the service that a split
+// route sends it to.
+//
+// A Table is immutable: a new configuration makes a new table. A Splitter
+// lives across tables, so that a change elsewhere does not disturb the shares
+// of a route.
+//
+// # Usage
+//
+//	table := router.NewTable(configuration)
+//	route := table.Match(request.Host, request.URL.Path)
+//	if route == nil {
+//		http.NotFound(w, request)
+//		return
+//	}
+//	service := splitter.Pick(route)
+package router
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once.
+	NonIdempotent
+	// Download requests are idempotent and have large answers.
+	Download
+)
+
+// MayRepeat reports whether a request of kind k may run more than once.
+func (k Kind) MayRepeat() bool { return k != NonIdempotent }
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	// Weight is relative to the other shares of the route.
+	Weight int
+}
+
+// Route selects requests by host and path prefix and says how they are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest that the operator wants a request kept waiting.
+	// Zero means that only the caller's deadline counts.
+	Timeout time.Duration
+	// LatencyObjective is the time within which an answer is worth most.
+	LatencyObjective time.Duration
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int
+	Shares   []Share
+	// MaxAttempts is the largest number of servers one request may be sent to.
+	MaxAttempts int
+	// HasAffinity says that servers answer faster for objects they know.
+	HasAffinity bool
+	// HomeRegions are the only regions that may serve the requests. Empty
+	// means all.
+	HomeRegions []string
+}
+
+// AllowsRegion reports whether the route may be served in a region.
+func (r *Route) AllowsRegion(region string) bool {
+	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
+}
+
+// Service is a group of interchangeable backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one server accepts from all entries together.
+	MaxConnections int
+	// Warmup is how long a server stays cold after its start.
+	Warmup time.Duration
+	// ColdRate is the number of requests a second that a cold server bears.
+	ColdRate float64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Configuration is one whole configuration of routes and services.
+type Configuration struct {
+	// Version only ever grows.
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Table is the routes of one configuration, arranged for look-ups.
+type Table struct {
+	Configuration
+	hosts map[string][]*Route
+}
+
+// NewTable arranges the routes of a configuration.
+func NewTable(configuration Configuration) *Table {
+	t := &Table{Configuration: configuration, hosts: map[string][]*Route{}}
+	for i := range t.Routes {
+		route := &t.Routes[i]
+		t.hosts[route.Host] = append(t.hosts[route.Host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path on a host, or nil.
+// The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.hosts[HostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// HostName returns a Host header's value without its port.
+func HostName(host string) string {
+	if !strings.Contains(host, ":") {
+		return host
+	}
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		return host
+	}
+	return name
+}
--- /dev/null
+++ b/selector/worktime.go
@@ -0,0 +1,52 @@
+package selector
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// workQuantile is the quantile of the observed times that counts as the
+	// work on a known object: below it lie only requests that did not wait.
+	workQuantile = 0.3
+	// workStep is the relative step with which the estimate follows.
+	workStep = 0.05
+)
+
+// WorkTimes estimates, for each name, how long a server works on a request for
+// an object that it knows. It is safe for concurrent use.
+type WorkTimes struct {
+	mu    sync.Mutex
+	times map[string]time.Duration
+}
+
+// NewWorkTimes returns a WorkTimes without observations.
+func NewWorkTimes() *WorkTimes { return &WorkTimes{times: map[string]time.Duration{}} }
+
+// Of returns the estimate for a name, or initial if nothing was observed.
+func (w *WorkTimes) Of(name string, initial time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t, ok := w.times[name]; ok {
+		return t
+	}
+	return initial
+}
+
+// Observe takes the time of one answer.
+func (w *WorkTimes) Observe(name string, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, ok := w.times[name]
+	if !ok {
+		w.times[name] = max(took, time.Millisecond)
+		return
+	}
+	step := workStep * float64(t)
+	if took < t {
+		t -= time.Duration(step * (1 - workQuantile))
+	} else {
+		t += time.Duration(step * workQuantile)
+	}
+	w.times[name] = max(t, time.Millisecond)
+}
