--- a/recorder/event.go
+++ b/recorder/event.go
@@ -61,6 +61,8 @@
 	EventLinesDropped          Event = 1910
 	EventRegistrationFailed    Event = 1911
 	EventConfigurationStale    Event = 1912
+	EventServerJoined          Event = 1913
+	EventServerGone            Event = 1914
 )
 
 // Description says what an event means. It is the text of docs/EVENTS.md.
@@ -117,6 +119,8 @@
 		{EventLinesDropped, slog.LevelWarn, "Log lines were dropped because too many were written; count says how many."},
 		{EventRegistrationFailed, slog.LevelWarn, "The instance's own entry in the store could not be written; it is tried again."},
 		{EventConfigurationStale, slog.LevelWarn, "A configuration older than the one in force was read and is ignored."},
+		{EventServerJoined, slog.LevelInfo, "A backend server is in use; coldFor says how long it warms up."},
+		{EventServerGone, slog.LevelInfo, "A backend server's entry is gone; it gets no work."},
 	}
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		delete(r.missing, id)
-		delete(r.backends, id)
+		r.drop(id)
 		changed = true
 	}
 	if changed {
@@ -195,6 +195,10 @@
 		return
 	}
 	r.backends[s.ID] = newBackend(s)
+	r.config.Log.Info("a backend server is in use", recorder.EventServerJoined.Attr(),
+		slog.String("server", s.ID), slog.String("service", s.Service), slog.String("failureDomain", s.FailureDomain),
+		slog.String("address", s.Address), slog.Int64("incarnation", s.Incarnation),
+		slog.Duration("coldFor", max(0, s.ColdUntil.Sub(r.config.Now()))))
 }
 
 // remove forgets a server, or gives it time to return if its entry may have
@@ -210,7 +214,13 @@
 		r.missing[id] = r.believeAfter
 		return
 	}
+	r.drop(id)
+}
+
+// drop forgets a server. The lock is held.
+func (r *Registrar) drop(id string) {
 	delete(r.backends, id)
+	r.config.Log.Info("a backend server is gone", recorder.EventServerGone.Attr(), slog.String("server", id))
 }
 
 // rebuild publishes a new view. The lock is held.
