--- /dev/null
+++ b/limiter/window_test.go
@@ -0,0 +1,69 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pollencrank/pollencrank/limiter"
+)
+
+var windowStart = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// In every window all instances together stay below the fleet's bound.
+func TestWindowBudgetBoundsTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 8).Draw(t, "instances")
+		perStep := rapid.IntRange(0, 5).Draw(t, "requests a step")
+		config := limiter.WindowConfig{Share: 0.2, Extra: 56, Window: 10 * time.Second}
+		var budgets []*limiter.WindowBudget
+		for range instances {
+			budgets = append(budgets, limiter.NewWindowBudget(config, instances))
+		}
+		const step = 100 * time.Millisecond
+		var retries, requests []int
+		for i := range 400 {
+			now := windowStart.Add(time.Duration(i) * step)
+			granted := 0
+			for _, b := range budgets {
+				for range perStep {
+					b.Deposit(now)
+				}
+				for b.Withdraw(now) {
+					granted++
+				}
+			}
+			retries = append(retries, granted)
+			requests = append(requests, perStep*instances)
+		}
+		const steps = 100
+		for first := range len(retries) - steps {
+			granted, counted := 0, 0
+			for i := first; i < first+steps; i++ {
+				granted += retries[i]
+				counted += requests[i]
+			}
+			require.LessOrEqual(t, float64(granted), 0.2*float64(counted)+56)
+		}
+	})
+}
+
+func TestWindowBudgetComesBack(t *testing.T) {
+	b := limiter.NewWindowBudget(limiter.WindowConfig{Extra: 10, Window: 10 * time.Second}, 1)
+	for b.Withdraw(windowStart) {
+	}
+	require.False(t, b.Withdraw(windowStart.Add(5*time.Second)))
+	require.True(t, b.Withdraw(windowStart.Add(11*time.Second)))
+}
+
+func TestWindowBudgetIsSharedByMoreInstances(t *testing.T) {
+	b := limiter.NewWindowBudget(limiter.WindowConfig{Extra: 80, Window: 10 * time.Second}, 1)
+	b.SetInstances(8)
+	granted := 0
+	for b.Withdraw(windowStart) {
+		granted++
+	}
+	require.Equal(t, 8, granted)
+}
