--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -12,7 +12,7 @@
 
 // copies is the number of servers of an object's order that are weighed for a
 // request.
-const copies = 3
+const copies = 2
 
 // choose returns the server for the next attempt of a call, or why there is
 // none.
