feat: a less urgent request that would be far too late is refused at once

Change: a first attempt that would wait and take over 1.5 times its latency objective is refused with a Retry-After; the most urgent rank waits to its deadline.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -14,6 +14,10 @@
 // request.
 const copies = 2
 
+// lateness is the multiple of the latency objective up to which requests that
+// are not the most urgent may be expected to take.
+const lateness = 1.5
+
 // choose returns the server for the next attempt of a call, or why there is
 // none.
 func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (*registrar.Backend, error) {
@@ -31,15 +35,32 @@
 			refused[backend] = true
 			continue
 		}
-		left := call.Request.Deadline.Sub(now)
-		if choice.Expected > left && attempt == 1 && choice.Wait > 0 {
-			return nil, refusal(pollencrank.ReasonQueueFull, choice.Wait, now,
-				"%s is expected to take %s of %s left", call.service.Name, choice.Expected, left)
+		if err := f.admit(call, choice, now, attempt); err != nil {
+			return nil, err
 		}
 		return backend, nil
 	}
 }
 
+// admit refuses a first attempt whose answer would come too late to be worth the
+// place that it takes in a server's queue. It answers sustained overload: with
+// queues as long as callers' patience every answer would be late, with short
+// ones those that are let in are in time.
+func (f *Forwarder) admit(call *Call, choice selector.Choice, now time.Time, attempt int) error {
+	if attempt > 1 || choice.Wait <= 0 {
+		return nil
+	}
+	left := call.Request.Deadline.Sub(now)
+	if call.Route.Priority > 0 && call.Route.LatencyObjective > 0 {
+		left = min(left, time.Duration(float64(call.Route.LatencyObjective)*lateness))
+	}
+	if choice.Expected <= left {
+		return nil
+	}
+	return refusal(pollencrank.ReasonQueueFull, choice.Wait, now,
+		"%s is expected to take %s, which is more than %s", call.service.Name, choice.Expected, left)
+}
+
 func initialWork(call *Call) time.Duration {
 	if call.Route.LatencyObjective <= 0 {
 		return defaultWork
