feat: tests of the hosted entry; its end is awaited

Cause: the listeners of an instance stayed open after Run had returned, and the new packages had few tests. Change: Run waits for every loop and closes every listener.

--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,205 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/follower"
+)
+
+type item = follower.Item[string]
+
+// source is a stand-in of a collection of the store on virtual time.
+type source struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]string
+	changes  []item
+	changed  chan struct{}
+	// isAway fails every call, isSilent answers none, hasForgotten loses the
+	// history once.
+	isAway, isSilent, hasForgotten bool
+	lists                          int
+}
+
+func newSource() *source {
+	return &source{revision: 1, items: map[string]string{}, changed: make(chan struct{})}
+}
+
+var errAway = errors.New("away")
+
+func (s *source) set(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[name] = value
+	s.changes = append(s.changes, item{Name: name, Revision: s.revision, Value: value})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) with(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *source) List(context.Context) ([]item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isAway {
+		return nil, 0, errAway
+	}
+	s.lists++
+	var items []item
+	for name, value := range s.items {
+		items = append(items, item{Name: name, Value: value})
+	}
+	return items, s.revision, nil
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) ([]item, uint64, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		changed, silent := s.changed, s.isSilent
+		if s.hasForgotten {
+			s.hasForgotten = false
+			s.mu.Unlock()
+			return nil, 0, &follower.HistoryGoneError{Cause: errAway}
+		}
+		if s.isAway {
+			s.mu.Unlock()
+			return nil, 0, errAway
+		}
+		if s.revision > after && !silent {
+			var news []item
+			for _, c := range s.changes {
+				if c.Revision > after {
+					news = append(news, c)
+				}
+			}
+			defer s.mu.Unlock()
+			return news, s.revision, nil
+		}
+		s.mu.Unlock()
+		if silent {
+			// The store took the call and will never answer it.
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-deadline:
+			return nil, after, nil
+		case <-changed:
+		}
+	}
+}
+
+// handler keeps what it is handed.
+type handler struct {
+	mu     sync.Mutex
+	values map[string]string
+	resets int
+}
+
+func (h *handler) Reset(items []item) {
+	h.mu.Lock()
+	h.values = map[string]string{}
+	h.resets++
+	h.mu.Unlock()
+	h.Apply(items)
+}
+
+func (h *handler) Apply(items []item) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, i := range items {
+		h.values[i.Name] = i.Value
+	}
+}
+
+func (h *handler) get(name string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.values[name]
+}
+
+// follow runs a follower in a bubble until the test function returns.
+func follow(t *testing.T, test func(s *source, h *handler, f *follower.Follower[string])) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s, h := newSource(), &handler{}
+		f := follower.New(follower.Config[string]{
+			Name: "test", Source: s, Handler: h, Wait: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		test(s, h, f)
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
+func TestChangesArrive(t *testing.T) {
+	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+		s.set("a", "1")
+		time.Sleep(time.Second)
+		require.Equal(t, "1", h.get("a"))
+		s.set("a", "2")
+		time.Sleep(time.Second)
+		require.Equal(t, "2", h.get("a"))
+		require.Equal(t, 1, h.resets)
+	})
+}
+
+func TestAnOutageKeepsWhatIsKnown(t *testing.T) {
+	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+		s.set("a", "1")
+		time.Sleep(time.Second)
+		s.with(func() { s.isAway = true })
+		s.set("a", "2")
+		time.Sleep(30 * time.Second)
+		require.Equal(t, "1", h.get("a"))
+		s.with(func() { s.isAway = false })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "2", h.get("a"))
+		require.Equal(t, 1, h.resets, "the changes are read, not everything")
+	})
+}
+
+func TestLostHistoryIsListedAnew(t *testing.T) {
+	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		s.with(func() { s.hasForgotten = true; s.items["b"] = "2" })
+		s.set("a", "1")
+		time.Sleep(time.Second)
+		require.Equal(t, "2", h.get("b"))
+		require.Equal(t, 2, h.resets)
+	})
+}
+
+// A watch that the store forgot would wait for ever without Interrupt.
+func TestInterruptRenewsAForgottenWatch(t *testing.T) {
+	follow(t, func(s *source, h *handler, f *follower.Follower[string]) {
+		s.with(func() { s.isSilent = true })
+		time.Sleep(time.Second)
+		s.set("a", "1")
+		s.with(func() { s.isSilent = false })
+		time.Sleep(time.Minute)
+		require.Empty(t, h.get("a"))
+		f.Interrupt()
+		time.Sleep(time.Second)
+		require.Equal(t, "1", h.get("a"))
+	})
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,366 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/limiter"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/warmer"
+)
+
+// sender is a stand-in of the backend servers.
+type sender struct {
+	mu    sync.Mutex
+	sent  []string
+	reply func(server string, n int, request *pollencrank.Request) (*pollencrank.Answer, error)
+}
+
+func (s *sender) Send(_ context.Context, target dispatcher.Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, target.Name)
+	n := len(s.sent)
+	s.mu.Unlock()
+	if s.reply == nil {
+		return good(target.Name, request), nil
+	}
+	return s.reply(target.Name, n, request)
+}
+
+// good is the whole answer of a sound server.
+func good(server string, request *pollencrank.Request) *pollencrank.Answer {
+	const body = "whole"
+	return &pollencrank.Answer{
+		Status: 200, Server: server, RequestID: request.ID, IsGenuine: true,
+		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}
+}
+
+// system is a forwarder over stand-ins.
+type system struct {
+	*forwarder.Forwarder
+	sender    *sender
+	registrar *registrar.Registrar
+	warmer    *warmer.Warmer
+	route     router.Route
+	requests  int
+}
+
+const service = "parts"
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{sender: &sender{}, warmer: warmer.New("entry-1")}
+	s.registrar = registrar.New(registrar.Config{
+		Warmup: func(string) time.Duration { return 3 * time.Second },
+		Log:    slog.New(slog.DiscardHandler),
+	})
+	s.Forwarder = forwarder.New(forwarder.Config{
+		Region: "north", FailureDomain: "north-a", Regions: 2,
+		Registrar: s.registrar, Sender: s.sender, Warmer: s.warmer,
+		Splitter:  router.NewSplitter(),
+		Budgets:   forwarder.NewBudgets(limiter.WindowConfig{Share: 0.2, Extra: 20, Window: 10 * time.Second}, 1),
+		Distances: forwarder.NewDistances("north"),
+		Log:       slog.New(slog.DiscardHandler),
+	})
+	s.route = router.Route{
+		Name: "r", Kind: router.Idempotent, MaxAttempts: 2, HasAffinity: true, LatencyObjective: 300 * time.Millisecond,
+		Priority: 1, Shares: []router.Share{{Service: service, Weight: 1}},
+	}
+	s.setServers(server("n-1", "north"), server("n-2", "north"), server("s-1", "south"), server("s-2", "south"))
+	return s
+}
+
+func server(id, region string) registrar.Server {
+	return registrar.Server{
+		ID: id, Service: service, Address: id + ":80", FailureDomain: region + "-a", Region: region, Slots: 2, Incarnation: 1,
+	}
+}
+
+func (s *system) setServers(servers ...registrar.Server) {
+	var items []follower.Item[registrar.Server]
+	for _, one := range servers {
+		items = append(items, follower.Item[registrar.Server]{Name: one.ID, Value: one})
+	}
+	s.registrar.Servers().Reset(items)
+}
+
+// ask forwards a request for an object.
+func (s *system) ask(ctx context.Context, object string) (*pollencrank.Answer, error) {
+	s.requests++
+	table := router.NewTable(router.Configuration{Services: map[string]router.Service{
+		service: {Name: service, MaxConnections: 100, Warmup: 3 * time.Second, ColdRate: 6},
+	}})
+	return s.Forward(ctx, &forwarder.Call{
+		Table: table, Route: &s.route, ObjectKey: object,
+		Request: &pollencrank.Request{
+			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(time.Second), Method: "GET",
+			Idempotent: s.route.Kind.MayRepeat(),
+		},
+	})
+}
+
+func lost(server string) error {
+	return pollencrank.OutcomeUnknown(pollencrank.ReasonServerFailed, "server %s: connection reset", server)
+}
+
+func shed(server string) error {
+	return pollencrank.NotRun(pollencrank.ReasonAllShed, "server %s is full", server)
+}
+
+func TestRequestsForAnObjectMeetOneServer(t *testing.T) {
+	s := newSystem(t)
+	for range 20 {
+		answer, err := s.ask(t.Context(), "17")
+		require.NoError(t, err)
+		body, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+	}
+	for _, name := range s.sender.sent {
+		require.Equal(t, s.sender.sent[0], name)
+	}
+}
+
+func TestRepeats(t *testing.T) {
+	truncated := func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		a := good(server, r)
+		a.Body = io.NopCloser(io.MultiReader(strings.NewReader("who"), &failingReader{}))
+		return a, nil
+	}
+	other := func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		a := good(server, r)
+		a.RequestID = "request of somebody else"
+		return a, nil
+	}
+	forged := func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		a := good(server, r)
+		a.IsGenuine = false
+		return a, nil
+	}
+	failing := func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		a := good(server, r)
+		a.Status = 500
+		return a, nil
+	}
+	fails := func(err func(string) error) replyFunc {
+		return func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, err(server) }
+	}
+	for name, test := range map[string]struct {
+		reply replyFunc
+		// repeated says whether a request of each kind is sent again.
+		idempotent, once bool
+	}{
+		"connection lost":   {fails(lost), true, false},
+		"shed":              {fails(shed), true, true},
+		"answer broken off": {truncated, true, false},
+		"answer to another": {other, true, false},
+		"answer unsigned":   {forged, true, false},
+		"status 500":        {failing, true, false},
+	} {
+		for kind, repeated := range map[router.Kind]bool{router.Idempotent: test.idempotent, router.NonIdempotent: test.once} {
+			t.Run(fmt.Sprintf("%s, kind %d", name, kind), func(t *testing.T) {
+				s := newSystem(t)
+				s.route.Kind = kind
+				s.sender.reply = func(server string, n int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+					if n == 1 {
+						return test.reply(server, n, r)
+					}
+					return good(server, r), nil
+				}
+				answer, err := s.ask(t.Context(), "17")
+				if !repeated {
+					require.Len(t, s.sender.sent, 1)
+					require.True(t, (err != nil && !pollencrank.IsNotRun(err)) || answer.Status == 500, "never said not to have run")
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, 200, answer.Status)
+				require.Len(t, s.sender.sent, 2)
+				require.NotEqual(t, s.sender.sent[0], s.sender.sent[1])
+			})
+		}
+	}
+}
+
+type replyFunc = func(server string, n int, r *pollencrank.Request) (*pollencrank.Answer, error)
+
+type failingReader struct{}
+
+func (*failingReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// A request that one server may have run is not "not run" because another one
+// refused it afterwards.
+func TestAnUnknownOutcomeStaysUnknown(t *testing.T) {
+	s := newSystem(t)
+	s.sender.reply = func(server string, n int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		if n == 1 {
+			return nil, lost(server)
+		}
+		return nil, shed(server)
+	}
+	_, err := s.ask(t.Context(), "17")
+	require.Error(t, err)
+	require.False(t, pollencrank.IsNotRun(err))
+	require.Len(t, s.sender.sent, 2)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	s := newSystem(t)
+	s.route.MaxAttempts = 3
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, shed(server) }
+	_, err := s.ask(t.Context(), "17")
+	require.True(t, pollencrank.IsNotRun(err))
+	require.Len(t, s.sender.sent, 3)
+}
+
+func TestRepeatsKeepTheBudget(t *testing.T) {
+	s := newSystem(t)
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, lost(server) }
+	const requests = 200
+	for i := range requests {
+		_, err := s.ask(t.Context(), fmt.Sprint(i))
+		require.Error(t, err)
+	}
+	require.LessOrEqual(t, len(s.sender.sent), requests+requests/5+20)
+	require.Greater(t, len(s.sender.sent), requests)
+}
+
+func TestHomesAreTheOnlyPlaces(t *testing.T) {
+	s := newSystem(t)
+	s.route.HomeRegions = []string{"south"}
+	for i := range 20 {
+		_, err := s.ask(t.Context(), fmt.Sprint(i))
+		require.NoError(t, err)
+	}
+	for _, name := range s.sender.sent {
+		require.True(t, strings.HasPrefix(name, "s-"), name)
+	}
+	s.setServers(server("n-1", "north"))
+	_, err := s.ask(t.Context(), "17")
+	require.True(t, pollencrank.IsNotRun(err), "refused at once")
+	var refused *pollencrank.NotRunError
+	require.True(t, errors.As(err, &refused))
+	require.False(t, refused.RetryAt.IsZero())
+}
+
+func TestEvacuatedServersGetNothing(t *testing.T) {
+	s := newSystem(t)
+	s.registrar.Evacuations().Apply([]follower.Item[registrar.Evacuation]{{Name: "north-a"}})
+	for i := range 20 {
+		_, err := s.ask(t.Context(), fmt.Sprint(i))
+		require.NoError(t, err)
+	}
+	for _, name := range s.sender.sent {
+		require.True(t, strings.HasPrefix(name, "s-"), name)
+	}
+}
+
+func TestColdServersGetLittle(t *testing.T) {
+	s := newSystem(t)
+	cold := server("n-1", "north")
+	cold.ColdUntil = time.Now().Add(time.Hour)
+	s.setServers(cold, server("n-2", "north"))
+	for i := range 200 {
+		_, err := s.ask(t.Context(), fmt.Sprint(i))
+		require.NoError(t, err)
+	}
+	got := 0
+	for _, name := range s.sender.sent {
+		if name == "n-1" {
+			got++
+		}
+	}
+	require.Positive(t, got)
+	require.LessOrEqual(t, got, 10)
+}
+
+func TestAServerThatWasReplacedGetsNothingMore(t *testing.T) {
+	s := newSystem(t)
+	s.setServers(server("n-1", "north"), server("n-2", "north"))
+	s.sender.reply = func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		if server == "n-1" {
+			return nil, pollencrank.NotRun(pollencrank.ReasonServerReplaced, "another server")
+		}
+		return good(server, r), nil
+	}
+	for i := range 50 {
+		_, err := s.ask(t.Context(), fmt.Sprint(i))
+		require.NoError(t, err)
+	}
+	asked := 0
+	for _, name := range s.sender.sent {
+		if name == "n-1" {
+			asked++
+		}
+	}
+	require.Equal(t, 1, asked)
+}
+
+// The pattern it answers: queues as long as callers' patience make every answer
+// late.
+func TestALongQueueIsRefusedAtOnceByRank(t *testing.T) {
+	s := newSystem(t)
+	for _, b := range s.registrar.All() {
+		b.Report(2, 8, time.Now())
+	}
+	_, err := s.ask(t.Context(), "17")
+	require.True(t, pollencrank.IsNotRun(err))
+	require.Empty(t, s.sender.sent)
+	s.route.Priority = 0
+	_, err = s.ask(t.Context(), "17")
+	require.NoError(t, err, "the most urgent requests wait")
+}
+
+func TestAStreamedBodyIsSentOnce(t *testing.T) {
+	s := newSystem(t)
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, lost(server) }
+	table := router.NewTable(router.Configuration{})
+	_, err := s.Forward(t.Context(), &forwarder.Call{
+		Table: table, Route: &s.route, ObjectKey: "17",
+		Request: &pollencrank.Request{
+			ID: "r", Deadline: time.Now().Add(time.Second), Body: bytes.NewReader([]byte("long")), ContentLength: 4,
+		},
+	})
+	require.Error(t, err)
+	require.Len(t, s.sender.sent, 1)
+}
+
+func TestACallerThatLeftIsNotServedAgain(t *testing.T) {
+	s := newSystem(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		cancel()
+		return nil, lost(server)
+	}
+	_, err := s.ask(ctx, "17")
+	require.Error(t, err)
+	require.Len(t, s.sender.sent, 1)
+}
+
+func TestDistances(t *testing.T) {
+	d := forwarder.NewDistances("north")
+	near, far := forwarder.Place{Region: "north", FailureDomain: "a"}, forwarder.Place{Region: "south", FailureDomain: "b"}
+	require.Less(t, d.To(near), d.To(far))
+	d.Observe(far, 40*time.Millisecond)
+	require.Equal(t, 40*time.Millisecond, d.To(far))
+	d.Observe(far, time.Second)
+	require.Less(t, d.To(far), 100*time.Millisecond)
+	d.Observe(far, 10*time.Millisecond)
+	require.Equal(t, 10*time.Millisecond, d.To(far))
+}
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -41,11 +42,21 @@
 }
 
 func (h *Hoster) followStore() {
+	h.goUntilStopped(h.follows.configurations.Run)
+	h.goUntilStopped(h.follows.servers.Run)
+	h.goUntilStopped(h.follows.evacuations.Run)
+	h.goUntilStopped(h.follows.instances.Run)
+}
+
+// goUntilStopped runs a loop whose end with the instance is no fault.
+func (h *Hoster) goUntilStopped(run func(ctx context.Context) error) {
 	ctx := h.tomb.Context(nil)
-	h.tomb.Go(func() error { return h.follows.configurations.Run(ctx) })
-	h.tomb.Go(func() error { return h.follows.servers.Run(ctx) })
-	h.tomb.Go(func() error { return h.follows.evacuations.Run(ctx) })
-	h.tomb.Go(func() error { return h.follows.instances.Run(ctx) })
+	h.tomb.Go(func() error {
+		if err := run(ctx); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
 }
 
 func (h *Hoster) storeLost() {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -202,26 +203,30 @@
 	h.followStore()
 	h.tomb.Go(h.register)
 	h.tomb.Go(h.sweep)
-	h.tomb.Go(func() error { return h.prober.Run(h.tomb.Context(nil)) })
+	h.goUntilStopped(h.prober.Run)
 	select {
 	case <-h.tomb.Dying():
-		return h.tomb.Err()
+		return h.tomb.Wait()
 	case <-ctx.Done():
 	}
 	h.stop(callers)
-	return nil
+	h.tomb.Kill(nil)
+	return h.tomb.Wait()
 }
 
 // serve answers on a listener until the instance ends.
 func (h *Hoster) serve(server *http.Server, listener net.Listener) {
 	h.tomb.Go(func() error {
 		err := server.Serve(listener)
-		if err != nil && err != http.ErrServerClosed {
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("listener %s: %w", listener.Addr(), err)
 		}
-		<-h.tomb.Dying()
 		return nil
 	})
+	h.tomb.Go(func() error {
+		<-h.tomb.Dying()
+		return server.Close()
+	})
 }
 
 // isReady reports whether the instance can serve callers.
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -41,7 +41,6 @@
 		h.config.Log.Warn("requests were left at the end of a planned stop", recorder.EventStopped.Attr(),
 			slog.Int("inFlight", h.relayer.InFlight()), slog.Any("error", err))
 	}
-	h.tomb.Kill(nil)
 	h.config.Log.Info("the instance has stopped", recorder.EventStopped.Attr(), slog.Duration("took", time.Since(started)))
 }
 
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,173 @@
+package registrar_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/registrar"
+)
+
+// clock is set by the tests.
+type clock struct{ now time.Time }
+
+func (c *clock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+func newRegistrar() (*registrar.Registrar, *clock) {
+	c := &clock{now: time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)}
+	return registrar.New(registrar.Config{
+		Warmup: func(string) time.Duration { return 3 * time.Second },
+		Log:    slog.New(slog.DiscardHandler),
+		Now:    func() time.Time { return c.now },
+	}), c
+}
+
+func server(id string) registrar.Server {
+	return registrar.Server{
+		ID: id, Service: "parts", Address: "10.0.0.1:80", FailureDomain: "north-a", Region: "north", Slots: 4, Incarnation: 1,
+	}
+}
+
+func put(servers ...registrar.Server) []follower.Item[registrar.Server] {
+	var items []follower.Item[registrar.Server]
+	for _, s := range servers {
+		items = append(items, follower.Item[registrar.Server]{Name: s.ID, Value: s})
+	}
+	return items
+}
+
+func gone(id string) []follower.Item[registrar.Server] {
+	return []follower.Item[registrar.Server]{{Name: id, Removed: true}}
+}
+
+func evacuate(domain string, removed bool) []follower.Item[registrar.Evacuation] {
+	return []follower.Item[registrar.Evacuation]{{Name: domain, Removed: removed, Value: registrar.Evacuation{FailureDomain: domain}}}
+}
+
+func ids(r *registrar.Registrar) []string {
+	var all []string
+	for _, b := range r.Backends("parts") {
+		all = append(all, b.Server().ID)
+	}
+	return all
+}
+
+func TestServersComeAndGo(t *testing.T) {
+	r, _ := newRegistrar()
+	r.Servers().Reset(put(server("b"), server("a")))
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	r.Servers().Apply(gone("a"))
+	require.Equal(t, []string{"b"}, ids(r))
+	r.Servers().Reset(put(server("c")))
+	require.Equal(t, []string{"c"}, ids(r))
+	require.Len(t, r.All(), 1)
+}
+
+func TestALeavingServerGetsNothing(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	leaving := server("a")
+	leaving.IsLeaving = true
+	r.Servers().Apply(put(leaving))
+	require.Empty(t, ids(r))
+	require.False(t, backend.IsUsable(c.now), "also for requests that hold it already")
+}
+
+func TestAnIDUsedAgainIsAnotherServer(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	r.Backends("parts")[0].Misdirected()
+	require.False(t, r.Backends("parts")[0].IsUsable(c.now))
+	reborn := server("a")
+	reborn.Incarnation = 2
+	r.Servers().Apply(put(reborn))
+	require.True(t, r.Backends("parts")[0].IsUsable(c.now))
+}
+
+func TestAnEvacuatedDomainGetsNothingAndComesBackCold(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	r.Evacuations().Apply(evacuate("north-a", false))
+	require.False(t, backend.IsUsable(c.now))
+	r.Evacuations().Apply(evacuate("north-a", true))
+	require.True(t, backend.IsUsable(c.now))
+	require.True(t, backend.IsCold(c.now))
+	c.pass(4 * time.Second)
+	require.False(t, backend.IsCold(c.now))
+	r.Evacuations().Reset(evacuate("north-a", false))
+	require.False(t, backend.IsUsable(c.now))
+	r.Evacuations().Reset(nil)
+	require.True(t, backend.IsUsable(c.now))
+}
+
+// Entries lapse while the store is away. They have about two seconds to return.
+func TestLapsedEntriesHaveTimeToReturn(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a"), server("b")))
+	r.StoreLost()
+	c.pass(10 * time.Second)
+	r.StoreRegained()
+	r.Servers().Apply(gone("a"))
+	r.Servers().Apply(gone("b"))
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	c.pass(time.Second)
+	r.Expire()
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	r.Servers().Apply(put(server("a")))
+	c.pass(2 * time.Second)
+	r.Expire()
+	require.Equal(t, []string{"a"}, ids(r), "one that is still missing is gone")
+	r.Servers().Apply(gone("a"))
+	require.Empty(t, ids(r), "in calm times at once")
+}
+
+func TestAnUnreachableServerIsTriedAgain(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	backend.Unreachable(c.now)
+	require.False(t, backend.IsUsable(c.now))
+	c.pass(300 * time.Millisecond)
+	require.True(t, backend.IsUsable(c.now))
+	backend.Unreachable(c.now)
+	c.pass(300 * time.Millisecond)
+	require.False(t, backend.IsUsable(c.now), "the pause doubles")
+	c.pass(time.Second)
+	require.True(t, backend.Succeeded(1, c.now), "it may have started anew")
+	require.False(t, backend.Succeeded(1, c.now))
+}
+
+func TestHealthIsForgotten(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	for range 20 {
+		backend.Succeeded(5, c.now)
+		backend.Failed(c.now)
+	}
+	health := backend.Health(c.now)
+	require.Greater(t, health.Slowness, 3.0)
+	require.Greater(t, health.FailureShare, 0.4)
+	c.pass(20 * time.Second)
+	health = backend.Health(c.now)
+	require.InDelta(t, 1, health.Slowness, 0.01)
+	require.InDelta(t, 0, health.FailureShare, 0.01)
+}
+
+func TestLoadOfOthersFades(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	backend.Begin()
+	backend.Report(4, 3, c.now)
+	require.InDelta(t, 7, backend.Load(c.now), 0.01, "6 of others and 1 of this instance")
+	c.pass(10 * time.Second)
+	require.InDelta(t, 1, backend.Load(c.now), 0.01)
+	backend.End()
+	require.Zero(t, backend.InFlight())
+}
