fix: watches are renewed after a loss of history; changes are gathered

Cause: when the store drops its history it cuts the waiting watches without a sign. After a failed call a silent store held the next one for 4 s. Each change of a server cost every instance a call. Change: a loss of history renews every watch; the first call after a failure waits 0.1 s; servers' and instances' changes are gathered for 0.5 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,8 +34,9 @@
 	// each further one up to maxRetryPause.
 	firstRetryPause = 100 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
-	// gatherPause lets changes that come in quick succession arrive together.
-	gatherPause = 60 * time.Millisecond
+	// recoveryWait is the wait of a watch after a failed call: a short one shows
+	// soon whether the store answers again.
+	recoveryWait = 100 * time.Millisecond
 )
 
 // Item is one object, or the news that it is gone.
@@ -81,11 +82,16 @@
 	Handler Handler[V]
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
+	// Gather is the pause after a change in which further ones come together,
+	// so that a burst of changes costs few calls.
+	Gather time.Duration
 	// OnLost and OnRegained, if set, are told when calls begin to fail and
-	// when they succeed again.
-	OnLost     func()
-	OnRegained func()
-	Log        *slog.Logger
+	// when they succeed again. OnHistoryGone is told when changes were lost:
+	// other watches may have been forgotten as well.
+	OnLost        func()
+	OnRegained    func()
+	OnHistoryGone func()
+	Log           *slog.Logger
 }
 
 // Follower follows one collection.
@@ -118,7 +124,11 @@
 	var revision uint64
 	listed, failures := false, 0
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, revision, listed)
+		wait := f.config.Wait
+		if failures > 0 {
+			wait = recoveryWait
+		}
+		next, err := f.step(ctx, revision, listed, wait)
 		switch {
 		case err == nil:
 			f.regained(failures)
@@ -128,6 +138,9 @@
 		case isHistoryGone(err):
 			f.config.Log.Warn("changes were lost, listing again", recorder.EventHistoryGone.Attr(), slog.String("collection", f.config.Name))
 			listed = false
+			if f.config.OnHistoryGone != nil {
+				f.config.OnHistoryGone()
+			}
 		default:
 			f.lost(ctx, failures, err)
 			failures++
@@ -143,7 +156,7 @@
 }
 
 // step performs one call and returns the revision to go on from.
-func (f *Follower[V]) step(ctx context.Context, revision uint64, listed bool) (uint64, error) {
+func (f *Follower[V]) step(ctx context.Context, revision uint64, listed bool, wait time.Duration) (uint64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !listed {
@@ -155,7 +168,7 @@
 	}
 	f.setInterrupt(func() { cancel(errInterrupted) })
 	defer f.setInterrupt(nil)
-	items, next, err := f.config.Source.Watch(ctx, revision, f.config.Wait)
+	items, next, err := f.config.Source.Watch(ctx, revision, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
 		return 0, errInterrupted
 	}
@@ -164,7 +177,7 @@
 	}
 	if len(items) > 0 {
 		f.config.Handler.Apply(items)
-		sleep(ctx, gatherPause)
+		sleep(ctx, f.config.Gather)
 	}
 	return max(next, revision), nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -27,6 +27,9 @@
 	// history once.
 	isAway, isSilent, hasForgotten bool
 	lists                          int
+	// lastWait is the wait of the last watch, firstWait that of the first one
+	// after lastWait was set to zero.
+	lastWait, firstWait time.Duration
 }
 
 func newSource() *source {
@@ -67,6 +70,12 @@
 
 func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) ([]item, uint64, error) {
 	deadline := time.After(wait)
+	s.with(func() {
+		if s.lastWait == 0 {
+			s.firstWait = wait
+		}
+		s.lastWait = wait
+	})
 	for {
 		s.mu.Lock()
 		changed, silent := s.changed, s.isSilent
@@ -110,6 +119,8 @@
 	mu     sync.Mutex
 	values map[string]string
 	resets int
+	// gone and applied count losses of history and batches of changes.
+	gone, applied int
 }
 
 func (h *handler) Reset(items []item) {
@@ -123,6 +134,7 @@
 func (h *handler) Apply(items []item) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.applied++
 	for _, i := range items {
 		h.values[i.Name] = i.Value
 	}
@@ -140,7 +152,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, h := newSource(), &handler{}
 		f := follower.New(follower.Config[string]{
-			Name: "test", Source: s, Handler: h, Wait: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
+			Name: "test", Source: s, Handler: h, Wait: 10 * time.Second, Gather: 100 * time.Millisecond,
+			OnHistoryGone: func() { h.gone++ }, Log: slog.New(slog.DiscardHandler),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -186,6 +199,37 @@
 		time.Sleep(time.Second)
 		require.Equal(t, "2", h.get("b"))
 		require.Equal(t, 2, h.resets)
+		require.Equal(t, 1, h.gone, "the other watches may have been forgotten too")
+	})
+}
+
+func TestABurstOfChangesCostsFewCalls(t *testing.T) {
+	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		before := h.applied
+		for range 50 {
+			s.set("a", "1")
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.set("a", "2")
+		time.Sleep(time.Second)
+		require.Equal(t, "2", h.get("a"))
+		require.LessOrEqual(t, h.applied-before, 7)
+	})
+}
+
+// A call that the store never answers must not keep a follower from noticing
+// that the store is back.
+func TestAfterAFailureTheNextCallIsShort(t *testing.T) {
+	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		s.with(func() { s.isAway = true })
+		s.set("b", "1")
+		time.Sleep(5 * time.Second)
+		s.with(func() { s.isAway, s.lastWait = false, 0 })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "1", h.get("b"))
+		require.LessOrEqual(t, s.firstWait, time.Second)
 	})
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -159,7 +159,9 @@
 		return a, nil
 	}
 	fails := func(err func(string) error) replyFunc {
-		return func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, err(server) }
+		return func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+			return nil, err(server)
+		}
 	}
 	for name, test := range map[string]struct {
 		reply replyFunc
@@ -223,7 +225,9 @@
 func TestAttemptsAreBounded(t *testing.T) {
 	s := newSystem(t)
 	s.route.MaxAttempts = 3
-	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, shed(server) }
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		return nil, shed(server)
+	}
 	_, err := s.ask(t.Context(), "17")
 	require.True(t, pollencrank.IsNotRun(err))
 	require.Len(t, s.sender.sent, 3)
@@ -231,7 +235,9 @@
 
 func TestRepeatsKeepTheBudget(t *testing.T) {
 	s := newSystem(t)
-	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, lost(server) }
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		return nil, lost(server)
+	}
 	const requests = 200
 	for i := range requests {
 		_, err := s.ask(t.Context(), fmt.Sprint(i))
@@ -329,7 +335,9 @@
 
 func TestAStreamedBodyIsSentOnce(t *testing.T) {
 	s := newSystem(t)
-	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) { return nil, lost(server) }
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		return nil, lost(server)
+	}
 	table := router.NewTable(router.Configuration{})
 	_, err := s.Forward(t.Context(), &forwarder.Call{
 		Table: table, Route: &s.route, ObjectKey: "17",
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -17,6 +17,13 @@
 	shortWait = 2500 * time.Millisecond
 	// longWait is the wait of the other watches.
 	longWait = 15 * time.Second
+	// shortGather and longGather are the pauses after a change. Servers change
+	// often, and half a second is a fifth of the time that a server that leaves
+	// has to be left alone in.
+	shortGather = 50 * time.Millisecond
+	longGather  = 500 * time.Millisecond
+	// renewalPause is the least time between two renewals of all watches.
+	renewalPause = time.Second
 )
 
 // newFollows makes the loops that follow the store. That of the configuration
@@ -25,19 +32,21 @@
 	log := h.config.Log
 	h.follows.configurations = follower.New(follower.Config[router.Configuration]{
 		Name: "configuration", Source: h.config.Configurations, Handler: configurationHandler{h},
-		Wait: shortWait, OnLost: h.storeLost, OnRegained: h.storeRegained, Log: log,
+		Wait: shortWait, Gather: shortGather,
+		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.servers = follower.New(follower.Config[registrar.Server]{
 		Name: "servers", Source: h.config.Servers, Handler: serverHandler{Handler: h.registrar.Servers(), h: h},
-		Wait: longWait, OnLost: h.storeLost, OnRegained: h.storeRegained, Log: log,
+		Wait: longWait, Gather: longGather,
+		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.evacuations = follower.New(follower.Config[registrar.Evacuation]{
 		Name: "evacuations", Source: h.config.Evacuations, Handler: h.registrar.Evacuations(),
-		Wait: longWait, Log: log,
+		Wait: longWait, Gather: shortGather, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.instances = follower.New(follower.Config[namer.Instance]{
 		Name: "instances", Source: h.config.Instances, Handler: h.roster,
-		Wait: longWait, Log: log,
+		Wait: longWait, Gather: longGather, OnHistoryGone: h.renewWatches, Log: log,
 	})
 }
 
@@ -64,10 +73,21 @@
 	h.registrar.StoreLost()
 }
 
-// storeRegained renews the watches that may have been forgotten in an outage.
 func (h *Hoster) storeRegained() {
 	h.storeIsLost.Store(false)
 	h.registrar.StoreRegained()
+	h.renewWatches()
+}
+
+// renewWatches begins every watch anew, after an outage or a loss of history in
+// which the store may have forgotten them.
+func (h *Hoster) renewWatches() {
+	now := time.Now().UnixNano()
+	last := h.renewedAt.Load()
+	if now-last < int64(renewalPause) || !h.renewedAt.CompareAndSwap(last, now) {
+		return
+	}
+	h.follows.configurations.Interrupt()
 	h.follows.servers.Interrupt()
 	h.follows.evacuations.Interrupt()
 	h.follows.instances.Interrupt()
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -107,6 +107,8 @@
 	hasServers  atomic.Bool
 	isStopping  atomic.Bool
 	storeIsLost atomic.Bool
+	// renewedAt is when the watches were last begun anew, in Unix nanoseconds.
+	renewedAt atomic.Int64
 	// registerNow wakes the loop that writes the instance's own entry.
 	registerNow chan struct{}
 }
