feat: requests that crash servers are refused by every hosted entry

Cause: a request that crashes the server that runs it comes again at any machine; the hosted entries did not know of such requests. Change: a connection that breaks off makes an entry ask whether the server is down; if it is, the request is a suspect, and the second crash convicts it (the existing isolator). Result: tests: 2 crashes, then refused, also at the other entry; a lost answer of a sound server is no crash.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,6 +70,7 @@
 	Splitter  *router.Splitter
 	Budgets   *Budgets
 	Distances *Distances
+	Suspects  Suspects
 	Log       *slog.Logger
 }
 
@@ -107,6 +108,9 @@
 	call.service = call.Table.Services[name]
 	call.service.Name = name
 	call.Request.Workload = name
+	if err := f.refuseConvicted(call, time.Now()); err != nil {
+		return nil, err
+	}
 	budget := f.config.Budgets.Of(name)
 	budget.Deposit(time.Now())
 
@@ -237,9 +241,10 @@
 	now := time.Now()
 	server := backend.Server()
 	if err != nil {
-		f.observeFailure(ctx, backend, err, now)
+		f.observeFailure(ctx, call, backend, err, now)
 		return
 	}
+	f.absolve(call, now)
 	if isServerError(answer) {
 		backend.Failed(now)
 		return
@@ -257,13 +262,14 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
 }
 
-func (f *Forwarder) observeFailure(ctx context.Context, backend *registrar.Backend, err error, now time.Time) {
-	if context.Cause(ctx) == context.Canceled {
+func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, now time.Time) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
 	var notRun *pollencrank.NotRunError
 	if !errors.As(err, &notRun) {
 		backend.Failed(now)
+		f.suspect(call, backend, err)
 		return
 	}
 	switch notRun.Reason {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/isolator"
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
@@ -59,13 +61,16 @@
 	warmer    *warmer.Warmer
 	route     router.Route
 	requests  int
+	// serversCrash says that a server that breaks off is down.
+	serversCrash atomic.Bool
+	told         chan isolator.Record
 }
 
 const service = "parts"
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{sender: &sender{}, warmer: warmer.New("entry-1")}
+	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), told: make(chan isolator.Record, 1000)}
 	s.registrar = registrar.New(registrar.Config{
 		Warmup: func(string) time.Duration { return 3 * time.Second },
 		Log:    slog.New(slog.DiscardHandler),
@@ -76,7 +81,12 @@
 		Splitter:  router.NewSplitter(),
 		Budgets:   forwarder.NewBudgets(limiter.WindowConfig{Share: 0.2, Extra: 20, Window: 10 * time.Second}, 1),
 		Distances: forwarder.NewDistances("north"),
-		Log:       slog.New(slog.DiscardHandler),
+		Suspects: forwarder.Suspects{
+			Isolator: isolator.New(isolator.Config{}),
+			IsDown:   func(context.Context, string) bool { return s.serversCrash.Load() },
+			Tell:     func(r isolator.Record) { s.told <- r },
+		},
+		Log: slog.New(slog.DiscardHandler),
 	})
 	s.route = router.Route{
 		Name: "r", Kind: router.Idempotent, MaxAttempts: 2, HasAffinity: true, LatencyObjective: 300 * time.Millisecond,
@@ -361,6 +371,39 @@
 	require.Len(t, s.sender.sent, 1)
 }
 
+// Three crashes are the most that one request may cause.
+func TestARequestThatCrashesServersIsRefused(t *testing.T) {
+	s := newSystem(t)
+	s.route.MaxAttempts = 1
+	s.serversCrash.Store(true)
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		return nil, lost(server)
+	}
+	for range 2 {
+		_, err := s.ask(t.Context(), "17")
+		require.False(t, pollencrank.IsNotRun(err))
+		<-s.told
+	}
+	_, err := s.ask(t.Context(), "17")
+	var refused *pollencrank.NotRunError
+	require.True(t, errors.As(err, &refused))
+	require.Equal(t, pollencrank.ReasonConvicted, refused.Reason)
+	require.Len(t, s.sender.sent, 2)
+}
+
+func TestALostAnswerIsNoCrash(t *testing.T) {
+	s := newSystem(t)
+	s.route.MaxAttempts = 1
+	s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+		return nil, lost(server)
+	}
+	for range 5 {
+		_, err := s.ask(t.Context(), "17")
+		require.False(t, pollencrank.IsNotRun(err))
+	}
+	require.Len(t, s.sender.sent, 5)
+}
+
 func TestDistances(t *testing.T) {
 	d := forwarder.NewDistances("north")
 	near, far := forwarder.Place{Region: "north", FailureDomain: "a"}, forwarder.Place{Region: "south", FailureDomain: "b"}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,7 @@
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/isolator"
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/prober"
@@ -98,6 +99,8 @@
 	warmer    *warmer.Warmer
 	budgets   *forwarder.Budgets
 	distances *forwarder.Distances
+	isolator  *isolator.Isolator
+	gossip    *gossip
 	relayer   *relayer.Relayer
 	idles     *relayer.IdleCloser
 	prober    *prober.Prober
@@ -134,9 +137,12 @@
 	}
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
+	h.isolator = isolator.New(isolator.Config{})
+	peers := newPeerClient()
+	h.gossip = &gossip{client: peers, peers: h.roster.peers, log: config.Log}
 	h.prober = prober.New(prober.Config{
 		Self:     config.Self.ID,
-		Ask:      newAsker().ask,
+		Ask:      asker{peers}.ask,
 		OnDead:   h.removeDead,
 		OnChange: h.roster.publish,
 		Log:      config.Log,
@@ -172,6 +178,7 @@
 		Splitter:      h.splitter,
 		Budgets:       h.budgets,
 		Distances:     h.distances,
+		Suspects:      forwarder.Suspects{Isolator: h.isolator, IsDown: isDown, Tell: h.gossip.tell},
 		Log:           h.config.Log,
 	})
 }
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -372,3 +372,41 @@
 	s.servers.set("i-1", registrar.Server{}, true)
 	eventually(t, "no server", func() bool { return !serves() })
 }
+
+// A request that crashed servers at one instance is refused by the others.
+func TestInstancesTellEachOtherOfCrashes(t *testing.T) {
+	s := newStore()
+	s.configure(1, "/x/")
+	s.crashing(t, "i-1")
+	s.crashing(t, "i-2")
+	first, second := s.start(t, "entry-1", 1), s.start(t, "entry-2", 1)
+	eventually(t, "both are named", func() bool {
+		return strings.Contains(first.lookup(t), second.CallerAddress) && strings.Contains(second.lookup(t), first.CallerAddress)
+	})
+	eventually(t, "refused by both", func() bool {
+		_, own, _ := first.get(t, "/x/poison")
+		_, others, _ := second.get(t, "/x/poison")
+		return strings.Contains(own, "crashesServers") && strings.Contains(others, "crashesServers")
+	})
+}
+
+// crashing starts a server that is down once it has begun to run a request, and
+// comes back as another start at the same address.
+func (s *store) crashing(t *testing.T, id string) {
+	t.Helper()
+	listener := listen(t)
+	address := listener.Addr().String()
+	s.servers.set(id, registrar.Server{
+		ID: id, Service: "parts", Address: address, FailureDomain: "north-a", Region: "north", Slots: 4, Incarnation: 1,
+	}, false)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = listener.Close()
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+}
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -89,6 +89,12 @@
 	r.h.budgets.SetInstances(max(len(r.listed), len(ids)))
 }
 
+// peers returns the other instances that take requests.
+func (r *roster) peers() []namer.Instance {
+	serving := *r.serving.Load()
+	return slices.DeleteFunc(slices.Clone(serving), func(i namer.Instance) bool { return i.ID == r.h.config.Self.ID })
+}
+
 // revisionOf returns the revision of an incarnation's entry, if it is listed.
 func (r *roster) revisionOf(i namer.Instance) (uint64, bool) {
 	r.mu.Lock()
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -33,7 +33,9 @@
 	userTimeout = 1500 * time.Millisecond
 	// optionUserTimeout is TCP_USER_TIMEOUT, which package syscall lacks.
 	optionUserTimeout = 0x12
-	sweepInterval     = 500 * time.Millisecond
+	// peerIdleTimeout is how long an idle connection to an instance is kept.
+	peerIdleTimeout = 5 * time.Second
+	sweepInterval   = 500 * time.Millisecond
 	// defaultIdleLimit holds for callers' connections without a configuration.
 	defaultIdleLimit = 60 * time.Second
 )
@@ -123,17 +125,27 @@
 	routes.GET(peerPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
 		return json.NewEncoder(w).Encode(peerState{Incarnation: h.config.Self.Incarnation, IsStopping: h.isStopping.Load()})
 	})
+	routes.POST(suspectsPath, func(w http.ResponseWriter, r bunrouter.Request) error {
+		records, err := readSuspects(r.Body)
+		if err != nil {
+			h.config.Log.Warn("records of suspects are malformed", recorder.EventRequestSuspected.Attr(), slog.Any("error", err))
+			w.WriteHeader(http.StatusBadRequest)
+			return nil
+		}
+		h.isolator.Learn(records, time.Now())
+		return nil
+	})
 	return routes
 }
 
 // asker asks other instances for their state.
 type asker struct{ client *http.Client }
 
-func newAsker() *asker {
-	return &asker{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}}
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout}}
 }
 
-func (a *asker) ask(ctx context.Context, i namer.Instance) (prober.State, error) {
+func (a asker) ask(ctx context.Context, i namer.Instance) (prober.State, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.PeerAddress+peerPath, nil)
 	if err != nil {
 		return prober.State{}, err
