--- a/cmd/pollencrank/main.go
+++ b/cmd/pollencrank/main.go
@@ -25,6 +25,7 @@
 	History  historyCommand  `cmd:"" help:"List the latest accepted changes."`
 	Rollback rollbackCommand `cmd:"" help:"Put the contents of an earlier generation back in force."`
 	Explain  explainCommand  `cmd:"" help:"Say why a caller is steered where it is, or why requests were refused."`
+	Request  requestCommand  `cmd:"" help:"Tell the story of one request from the logs of instances."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in for the store or a backend server, to try entries as separate processes."`
 	Measure  measureCommand  `cmd:"" help:"Rerun the measurements of docs/CAPACITY.md."`
 }
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -35,7 +35,7 @@
 			refused[backend] = true
 			continue
 		}
-		if err := f.admit(call, choice, now, attempt); err != nil {
+		if err := f.admit(call, backend, choice, now, attempt); err != nil {
 			return nil, err
 		}
 		return backend, nil
@@ -46,7 +46,7 @@
 // place that it takes in a server's queue. It answers sustained overload: with
 // queues as long as callers' patience every answer would be late, with short
 // ones those that are let in are in time.
-func (f *Forwarder) admit(call *Call, choice selector.Choice, now time.Time, attempt int) error {
+func (f *Forwarder) admit(call *Call, backend *registrar.Backend, choice selector.Choice, now time.Time, attempt int) error {
 	if attempt > 1 || choice.Wait <= 0 {
 		return nil
 	}
@@ -57,8 +57,10 @@
 	if choice.Expected <= left {
 		return nil
 	}
+	server := backend.Server()
 	return refusal(pollencrank.ReasonQueueFull, choice.Wait, now,
-		"%s is expected to take %s, which is more than %s", call.service.Name, choice.Expected, left)
+		"server %s has %.1f requests for %d slots; %s expected, %s of it waiting, exceed %s", server.ID,
+		backend.Load(now), server.Slots, choice.Expected.Round(time.Millisecond), choice.Wait.Round(time.Millisecond), left.Round(time.Millisecond))
 }
 
 func initialWork(call *Call) time.Duration {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -219,7 +219,11 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerBytes+1))
 	if err != nil {
 		_ = answer.Body.Close()
-		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerTruncated, "server %s: %v", answer.Server, err)
+		reason := pollencrank.ReasonAnswerTruncated
+		if errors.Is(err, context.DeadlineExceeded) {
+			reason = pollencrank.ReasonDeadlinePassed
+		}
+		return pollencrank.OutcomeUnknown(reason, "server %s: the answer broke off: %v", answer.Server, err)
 	}
 	if len(body) > bufferedAnswerBytes {
 		answer.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -14,14 +14,14 @@
 
 const (
 	// shortWait is the wait of the watch that notices a silent store.
-	shortWait = 2500 * time.Millisecond
+	shortWait = 3200 * time.Millisecond
 	// longWait is the wait of the other watches.
 	longWait = 15 * time.Second
 	// shortGather and longGather are the pauses after a change. Servers change
-	// often, and half a second is a fifth of the time that a server that leaves
-	// has to be left alone in.
+	// often, and this is less than a third of the time in which one that leaves
+	// has to be left alone.
 	shortGather = 50 * time.Millisecond
-	longGather  = 500 * time.Millisecond
+	longGather  = 700 * time.Millisecond
 	// renewalPause is the least time between two renewals of all watches.
 	renewalPause = time.Second
 )
