fix: a server's own failure is passed on although a later attempt was lost

Cause: the answer of a first attempt was forgotten when a second one failed without an answer. Change: the last answer of a server is kept; test.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,7 +130,9 @@
 		if err == nil && !isServerError(answer) {
 			return answer, nil
 		}
-		lastAnswer = answer
+		if answer != nil {
+			lastAnswer = answer
+		}
 		if err == nil {
 			err = pollencrank.OutcomeUnknown(pollencrank.ReasonServerFailed, "server %s answered with status %d", answer.Server, answer.Status)
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -232,6 +232,23 @@
 	require.Len(t, s.sender.sent, 2)
 }
 
+// A server's own failure says more than one of ours.
+func TestAServersFailureIsPassedOn(t *testing.T) {
+	s := newSystem(t)
+	s.sender.reply = func(server string, n int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		if n > 1 {
+			return nil, lost(server)
+		}
+		a := good(server, r)
+		a.Status = 500
+		return a, nil
+	}
+	answer, err := s.ask(t.Context(), "17")
+	require.NoError(t, err)
+	require.Equal(t, 500, answer.Status)
+	require.Len(t, s.sender.sent, 2)
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	s := newSystem(t)
 	s.route.MaxAttempts = 3
