--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,8 +3,8 @@
 // it without any message between instances.
 //
 // The order is by weighted rendezvous hashing. Each object has a first server
-// in the callers' own region as far as the region's share of the slots carries
-// its callers; the other objects have it in the regions with slots to spare.
+// in the callers' own region as far as the region's share of the slots, with some
+// headroom, carries its callers; the other objects have it in the regions with slots to spare.
 // The list goes on with the first ones of the other kind, so that every object
 // has a near and a far server early on. A server that comes or goes moves only
 // the objects that it holds.
@@ -42,6 +42,11 @@
 	Regions int
 }
 
+// headroom is the multiple of a region's equal part of all callers that its
+// servers take: servers that know their objects are seldom full, and far ones
+// answer later.
+const headroom = 1.5
+
 // nearSalt keeps the choice between near and far apart from the choice of a
 // server.
 const nearSalt = 0x9e3779b97f4a7c15
@@ -61,7 +66,8 @@
 }
 
 // nearShare returns the share of objects whose first server is in the callers'
-// own region: what its slots carry of an equal part of all callers.
+// own region: what its slots carry of an equal part of all callers, with the
+// headroom.
 func nearShare(candidates []Candidate, object Object) float64 {
 	own, all := 0, 0
 	for _, c := range candidates {
@@ -73,7 +79,7 @@
 	if all == 0 {
 		return 0
 	}
-	return min(1, float64(own)*float64(max(object.Regions, 1))/float64(all))
+	return min(1, headroom*float64(own)*float64(max(object.Regions, 1))/float64(all))
 }
 
 type scored struct {
