--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -120,6 +120,18 @@
 	d.transports.Store(&next)
 }
 
+// KeepAddresses forgets the servers at other addresses, with whatever number of
+// connections they were asked.
+func (d *Dispatcher) KeepAddresses(addresses map[string]bool) {
+	var targets []Target
+	for target := range *d.transports.Load() {
+		if addresses[target.Address] {
+			targets = append(targets, target)
+		}
+	}
+	d.Keep(targets)
+}
+
 func (d *Dispatcher) transport(target Target) *http.Transport {
 	target = connectionKey(target)
 	if t := (*d.transports.Load())[target]; t != nil {
--- a/forwarder/budgets.go
+++ b/forwarder/budgets.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math/bits"
 	"sync"
 
 	"github.com/pollencrank/pollencrank/limiter"
@@ -47,9 +48,11 @@
 }
 
 // Connections returns this instance's part of the connections that one server
-// accepts from all. It grows in steps, because connections are kept by it.
+// accepts from all: a power of two, because open connections are given up when
+// the number changes, and instances come and go.
 func (b *Budgets) Connections(all int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(all/b.instances, leastConnections)
+	part := max(all/b.instances, leastConnections)
+	return 1 << (bits.Len(uint(part)) - 1)
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -71,6 +71,7 @@
 func newSystem(t *testing.T) *system {
 	t.Helper()
 	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), told: make(chan isolator.Record, 1000)}
+	s.warmer.SetInstances([]string{"entry-1"})
 	s.registrar = registrar.New(registrar.Config{
 		Warmup: func(string) time.Duration { return 3 * time.Second },
 		Log:    slog.New(slog.DiscardHandler),
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -100,6 +100,7 @@
 	budgets   *forwarder.Budgets
 	distances *forwarder.Distances
 	isolator  *isolator.Isolator
+	sender    *dispatcher.Dispatcher
 	gossip    *gossip
 	relayer   *relayer.Relayer
 	idles     *relayer.IdleCloser
@@ -158,7 +159,7 @@
 }
 
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
-	sender := dispatcher.New(dispatcher.Config{
+	h.sender = dispatcher.New(dispatcher.Config{
 		DialContext: h.dial,
 		Dialect:     h.config.Dialect,
 		OnReport:    h.report,
@@ -173,7 +174,7 @@
 		FailureDomain: h.config.Self.FailureDomain,
 		Regions:       len(regions),
 		Registrar:     h.registrar,
-		Sender:        sender,
+		Sender:        h.sender,
 		Warmer:        h.warmer,
 		Splitter:      h.splitter,
 		Budgets:       h.budgets,
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -189,10 +189,20 @@
 			}
 			h.idles.Sweep(limit, now)
 			h.registrar.Expire()
+			h.forgetServers()
 		}
 	}
 }
 
+// forgetServers closes the idle connections to servers that are gone.
+func (h *Hoster) forgetServers() {
+	addresses := map[string]bool{}
+	for _, b := range h.registrar.All() {
+		addresses[b.Server().Address] = true
+	}
+	h.sender.KeepAddresses(addresses)
+}
+
 // register writes the instance's own entry whenever the store lacks it.
 func (h *Hoster) register() error {
 	const pause = 400 * time.Millisecond
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -41,7 +41,7 @@
 		h.config.Log.Warn("requests were left at the end of a planned stop", recorder.EventStopped.Attr(),
 			slog.Int("inFlight", h.relayer.InFlight()), slog.Any("error", err))
 	}
-	h.config.Log.Info("the instance has stopped", recorder.EventStopped.Attr(), slog.Duration("took", time.Since(started)))
+	h.config.Log.Info("the instance has stopped", recorder.EventStopped.Attr(), slog.String("took", time.Since(started).Round(time.Microsecond).String()))
 }
 
 // leave removes the instance's entry in the background.
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -76,7 +76,9 @@
 		return Line{}, false
 	}
 	var attributes map[string]any
-	if err := json.Unmarshal([]byte(text[brace:]), &attributes); err != nil {
+	decoder := json.NewDecoder(strings.NewReader(text[brace:]))
+	decoder.UseNumber()
+	if err := decoder.Decode(&attributes); err != nil {
 		return Line{}, false
 	}
 	line := Line{Source: name, Attributes: attributes}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -198,7 +198,7 @@
 	r.config.Log.Info("a backend server is in use", recorder.EventServerJoined.Attr(),
 		slog.String("server", s.ID), slog.String("service", s.Service), slog.String("failureDomain", s.FailureDomain),
 		slog.String("address", s.Address), slog.Int64("incarnation", s.Incarnation),
-		slog.Duration("coldFor", max(0, s.ColdUntil.Sub(r.config.Now()))))
+		slog.String("coldFor", max(0, s.ColdUntil.Sub(r.config.Now())).String()))
 }
 
 // remove forgets a server, or gives it time to return if its entry may have
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -255,7 +255,7 @@
 	}
 	attributes := []any{
 		event.Attr(), slog.String("request", headers.RequestID), slog.Int("status", status), slog.Any("error", err),
-		slog.Duration("took", time.Since(started)),
+		slog.String("took", time.Since(started).Round(time.Microsecond).String()),
 	}
 	if call != nil {
 		attributes = append(attributes, slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version))
@@ -299,5 +299,5 @@
 	}
 	r.config.Log.Info("the request was answered", recorder.EventRequestFinished.Attr(),
 		slog.String("request", call.Request.ID), slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version),
-		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.Duration("took", took))
+		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.String("took", took.Round(time.Microsecond).String()))
 }
--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -49,9 +49,11 @@
 	isSender bool
 }
 
-// New returns a Warmer for the instance with an ID.
+// New returns a Warmer for the instance with an ID. It gives out nothing until
+// the instances are set: one that does not know the others must not believe to
+// be alone.
 func New(self string) *Warmer {
-	return &Warmer{self: self, instances: []string{self}, buckets: map[string]*bucket{}}
+	return &Warmer{self: self, buckets: map[string]*bucket{}}
 }
 
 // SetInstances sets the instances that take requests.
@@ -67,6 +69,9 @@
 // isSender reports whether this instance is one of a server's senders. The lock
 // is held.
 func (w *Warmer) isSender(server string) bool {
+	if len(w.instances) == 0 {
+		return false
+	}
 	own := pollencrank.RendezvousScore(server, w.self)
 	ahead := 0
 	for _, id := range w.instances {
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -72,6 +72,14 @@
 	require.LessOrEqual(t, flood(all, 6, 5*time.Second), 6*3/2+5)
 }
 
+// All instances start anew after a power loss, and servers are cold then.
+func TestAnInstanceThatKnowsNobodySendsNothing(t *testing.T) {
+	w := warmer.New("entry-1")
+	require.False(t, w.Take("server", 6, start))
+	w.SetInstances([]string{"entry-1"})
+	require.True(t, w.Take("server", 6, start.Add(time.Second)))
+}
+
 func TestAServerHasASender(t *testing.T) {
 	all, _ := fleet(8)
 	for server := range 50 {
