chore: one list of headers that are not passed on; dropped log lines are said

Cause: receiver and relayer had the same list and function; the log writer counted dropped lines and told nobody. Change: pollencrank.EndToEnd; a line PC1910 with the count before the next line that is written.

--- a/receiver/request.go
+++ b/receiver/request.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,12 +33,6 @@
 	copyBytes   = 32 << 10
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // request takes a caller's request.
 func (r *Receiver) request(w http.ResponseWriter, incoming *http.Request) {
 	started := time.Now()
@@ -106,7 +99,7 @@
 		Method:        incoming.Method,
 		Host:          incoming.Host,
 		URI:           incoming.URL.RequestURI(),
-		Header:        passOn(incoming.Header),
+		Header:        pollencrank.EndToEnd(incoming.Header),
 		ContentLength: incoming.ContentLength,
 	}
 	if err := applyHeaders(request, workload, incoming.Header, now); err != nil {
@@ -234,27 +227,11 @@
 	return pollencrank.OutcomeUnknown(reason, "request body: %v", body.failure())
 }
 
-// passOn returns the headers that go to the backend server.
-func passOn(header http.Header) http.Header {
-	passed := header.Clone()
-	for _, names := range header["Connection"] {
-		for name := range strings.SplitSeq(names, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		passed.Del(name)
-	}
-	return passed
-}
-
 // send passes a backend server's answer to the caller.
 func (r *Receiver) send(w http.ResponseWriter, answer *pollencrank.Answer, request *pollencrank.Request) {
 	header := w.Header()
-	for name, values := range answer.Header {
-		if !slices.Contains(hopHeaders, name) {
-			header[name] = values
-		}
+	for name, values := range pollencrank.EndToEnd(answer.Header) {
+		header[name] = values
 	}
 	// A backend server cannot speak for the system.
 	header.Del(HeaderOutcome)
--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"sync/atomic"
 )
 
@@ -9,9 +10,10 @@
 const queuedLines = 4096
 
 // Writer writes log lines in the background. It never blocks: a line that finds
-// the queue full is dropped and counted.
+// the queue full is dropped, and a line says later how many were.
 type Writer struct {
 	out     io.Writer
+	report  *slog.Logger
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Uint64
@@ -19,7 +21,12 @@
 
 // NewWriter returns a Writer to out. Close it to write what waits.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	w := &Writer{
+		out:    out,
+		report: slog.New(slog.NewJSONHandler(out, nil)),
+		lines:  make(chan []byte, queuedLines),
+		done:   make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -35,12 +42,12 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped so far.
-func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
-
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
+		if dropped := w.dropped.Swap(0); dropped > 0 {
+			w.report.Warn("log lines were dropped", EventLinesDropped.Attr(), slog.Uint64("count", dropped))
+		}
 		// There is no place to report a failed write of the log to.
 		_, _ = w.out.Write(line)
 	}
--- /dev/null
+++ b/recorder/writer_test.go
@@ -0,0 +1,66 @@
+package recorder_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+// gatedWriter does not take a line before it is opened.
+type gatedWriter struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (w *gatedWriter) Write(p []byte) (int, error) {
+	<-w.open
+	return w.Buffer.Write(p)
+}
+
+func TestWriterKeepsTheOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := recorder.NewWriter(&out)
+	for i := range 100 {
+		_, err := fmt.Fprintln(w, i)
+		require.NoError(t, err)
+	}
+	w.Close()
+	lines := strings.Fields(out.String())
+	require.Len(t, lines, 100)
+	require.Equal(t, "99", lines[99])
+}
+
+// A reader that stops reading must not hold requests up.
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &gatedWriter{open: make(chan struct{})}
+	w := recorder.NewWriter(out)
+	const lines = 20_000
+	for range lines {
+		_, err := io.WriteString(w, "line\n")
+		require.NoError(t, err)
+	}
+	close(out.open)
+	w.Close()
+	kept := strings.Count(out.String(), "line\n")
+	require.Less(t, kept, lines)
+	require.Contains(t, out.String(), recorder.EventLinesDropped.String())
+	require.Contains(t, out.String(), fmt.Sprintf(`"count":%d`, lines-kept))
+}
+
+func BenchmarkWriter(b *testing.B) {
+	for name, out := range map[string]io.Writer{"read": io.Discard, "not read": &gatedWriter{open: make(chan struct{})}} {
+		b.Run(name, func(b *testing.B) {
+			log := slog.New(slog.NewJSONHandler(recorder.NewWriter(out), nil))
+			for b.Loop() {
+				log.Info("the request was answered", slog.String("request", "9c41d07be2a35f68"), slog.Int("status", 200))
+			}
+		})
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -44,12 +44,6 @@
 	sampledShare = 100
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // CallerHeaders is what a caller says in the headers of a request.
 type CallerHeaders struct {
 	RequestID string
@@ -164,7 +158,7 @@
 			Method:        incoming.Method,
 			Host:          incoming.Host,
 			URI:           incoming.RequestURI,
-			Header:        passOn(incoming.Header),
+			Header:        pollencrank.EndToEnd(incoming.Header),
 			ContentLength: incoming.ContentLength,
 		},
 	}
@@ -203,24 +197,10 @@
 	return nil
 }
 
-// passOn returns the headers that concern the request and not its connection.
-func passOn(header http.Header) http.Header {
-	passed := header.Clone()
-	for _, line := range header.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		passed.Del(name)
-	}
-	return passed
-}
-
 // send passes an answer on.
 func (r *Relayer) send(w http.ResponseWriter, answer *pollencrank.Answer) {
 	header := w.Header()
-	for name, values := range passOn(answer.Header) {
+	for name, values := range pollencrank.EndToEnd(answer.Header) {
 		header[name] = values
 	}
 	if answer.ContentLength >= 0 {
