--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -59,7 +59,7 @@
 
 // goUntilStopped runs a loop whose end with the instance is no fault.
 func (h *Hoster) goUntilStopped(run func(ctx context.Context) error) {
-	ctx := h.tomb.Context(nil)
+	ctx := h.tomb.Context(context.Background())
 	h.tomb.Go(func() error {
 		if err := run(ctx); ctx.Err() == nil {
 			return err
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -206,7 +206,7 @@
 // register writes the instance's own entry whenever the store lacks it.
 func (h *Hoster) register() error {
 	const pause = 400 * time.Millisecond
-	ctx := h.tomb.Context(nil)
+	ctx := h.tomb.Context(context.Background())
 	for {
 		select {
 		case <-h.tomb.Dying():
