--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -324,6 +325,31 @@
 	require.LessOrEqual(t, got, 10)
 }
 
+// A server that could not be reached may have started anew, and the store may
+// not say so yet.
+func TestAServerThatReturnsIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.setServers(server("n-1", "north"))
+		s.sender.reply = func(server string, n int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+			if n == 1 {
+				return nil, pollencrank.NotRun(pollencrank.ReasonServerUnreachable, "refused")
+			}
+			return good(server, r), nil
+		}
+		_, err := s.ask(t.Context(), "17")
+		require.True(t, pollencrank.IsNotRun(err))
+		time.Sleep(time.Second)
+		backend := s.registrar.Backends(service)[0]
+		require.False(t, backend.IsCold(time.Now()))
+		_, err = s.ask(t.Context(), "17")
+		require.NoError(t, err)
+		require.True(t, backend.IsCold(time.Now()))
+		time.Sleep(4 * time.Second)
+		require.False(t, backend.IsCold(time.Now()))
+	})
+}
+
 func TestAServerThatWasReplacedGetsNothingMore(t *testing.T) {
 	s := newSystem(t)
 	s.setServers(server("n-1", "north"), server("n-2", "north"))
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -1,7 +1,9 @@
 package hoster_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,6 +22,7 @@
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
 )
@@ -38,6 +41,10 @@
 	changed  chan struct{}
 	// listable is closed when the collection may be listed.
 	listable chan struct{}
+	// cuts counts how often all waiting watches were cut without a sign.
+	cuts int
+	// isGone says that the history is lost for the next watch.
+	isGone bool
 }
 
 func newCollection[V any]() *collection[V] {
@@ -55,6 +62,32 @@
 	c.changed = make(chan struct{})
 }
 
+// cut makes the waiting watches deaf.
+func (c *collection[V]) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts++
+}
+
+// loseHistory ends the waiting watches, and the next one learns that changes
+// were lost.
+func (c *collection[V]) loseHistory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isGone = true
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// takeGone reports whether the history is lost, and the cuts so far.
+func (c *collection[V]) takeGone() (bool, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := c.isGone
+	c.isGone = false
+	return gone, c.cuts
+}
+
 func (c *collection[V]) has(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,7 +118,18 @@
 }
 
 func (c *collection[V]) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Item[V], uint64, error) {
+	c.mu.Lock()
+	begun := c.cuts
+	c.mu.Unlock()
 	for {
+		gone, cuts := c.takeGone()
+		if gone {
+			return nil, 0, &follower.HistoryGoneError{Cause: errLost}
+		}
+		if cuts != begun {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
 		items, revision, changed := c.since(after)
 		if len(items) > 0 {
 			return items, revision, nil
@@ -100,6 +144,8 @@
 	}
 }
 
+var errLost = errors.New("the history is lost")
+
 // store is a stand-in of the whole store.
 type store struct {
 	servers        *collection[registrar.Server]
@@ -142,6 +188,7 @@
 type entry struct {
 	namer.Instance
 	lookups, ready string
+	log            *lines
 	stop           context.CancelFunc
 	// done is closed when the instance has ended, with err.
 	done chan struct{}
@@ -166,6 +213,7 @@
 		lookups: listeners.Lookups.Addr().String(),
 		ready:   listeners.Ready.Addr().String(),
 		done:    make(chan struct{}),
+		log:     &lines{},
 	}
 	h, err := hoster.New(hoster.Config{
 		Self: e.Instance, RegionOf: map[string]string{"north-a": "north"}, Listeners: listeners, Dialect: platform.Dialect{},
@@ -175,7 +223,7 @@
 		Registry: s, Servers: s.servers, Configurations: s.configurations, Evacuations: s.evacuations, Instances: s.instances,
 		Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
 		StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
-		Log: slog.New(slog.DiscardHandler),
+		Log: slog.New(slog.NewJSONHandler(e.log, nil)),
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -271,10 +319,45 @@
 	status, _, _ = e.get(t, "/x/1")
 	require.Equal(t, 404, status)
 	s.configure(1, "/x/")
+	eventually(t, "the older configuration is noticed", func() bool { return e.log.has(recorder.EventConfigurationStale) })
+	status, _, _ = e.get(t, "/x/1")
+	require.Equal(t, 404, status, "an older configuration is never in force again")
 	s.configure(3, "/z/")
 	eventually(t, "the third route", func() bool { status, _, _ := e.get(t, "/z/1"); return status == 200 })
 }
 
+// A store that drops its history cuts the waiting watches without a sign.
+func TestALossOfHistoryRenewsEveryWatch(t *testing.T) {
+	s := newStore()
+	s.configure(1, "/x/")
+	s.backend(t, "i-1", echo)
+	e := s.start(t, "entry-1", 1)
+	serves := func() bool { status, _, _ := e.get(t, "/x/1"); return status == 200 }
+	eventually(t, "served", serves)
+	s.evacuations.cut()
+	s.evacuations.set("north-a", registrar.Evacuation{FailureDomain: "north-a"}, false)
+	s.configurations.loseHistory()
+	eventually(t, "not served", func() bool { return !serves() })
+}
+
+// lines keeps what an instance logs.
+type lines struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.Write(p)
+}
+
+func (l *lines) has(event recorder.Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.String(), event.String())
+}
+
 // The order in which the store answers must not matter: an instance that does
 // not register believes to be alone and sends too much to cold servers.
 func TestAnInstanceRegistersInWhateverOrderTheStoreAnswers(t *testing.T) {
