fix: the two transports to other entries do not share a TLS configuration; tests that read under the lock

A transport of net/http writes the protocols into the TLS configuration it is given; control and data connections had the same one, so that one transport's first call raced with the other's handshake. Two new tests (follower, prober) read counters of their stand-ins without the lock. Change: each transport has a copy; a test without -race notices the shared one (it fails without the copy). Stand-ins of the tests are read under their lock.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// counts is what a handler was told.
+type counts struct{ resets, gone, applied int }
+
+func (h *handler) counts() counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return counts{resets: h.resets, gone: h.gone, applied: h.applied}
+}
+
+func (h *handler) historyGone() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gone++
+}
+
 func (h *handler) get(name string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -153,7 +168,7 @@
 		s, h := newSource(), &handler{}
 		f := follower.New(follower.Config[string]{
 			Name: "test", Source: s, Handler: h, Wait: 10 * time.Second, Gather: 100 * time.Millisecond,
-			OnHistoryGone: func() { h.gone++ }, Log: slog.New(slog.DiscardHandler),
+			OnHistoryGone: h.historyGone, Log: slog.New(slog.DiscardHandler),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -172,7 +187,7 @@
 		s.set("a", "2")
 		time.Sleep(time.Second)
 		require.Equal(t, "2", h.get("a"))
-		require.Equal(t, 1, h.resets)
+		require.Equal(t, 1, h.counts().resets)
 	})
 }
 
@@ -187,7 +202,7 @@
 		s.with(func() { s.isAway = false })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, "2", h.get("a"))
-		require.Equal(t, 1, h.resets, "the changes are read, not everything")
+		require.Equal(t, 1, h.counts().resets, "the changes are read, not everything")
 	})
 }
 
@@ -198,15 +213,15 @@
 		s.set("a", "1")
 		time.Sleep(time.Second)
 		require.Equal(t, "2", h.get("b"))
-		require.Equal(t, 2, h.resets)
-		require.Equal(t, 1, h.gone, "the other watches may have been forgotten too")
+		require.Equal(t, 2, h.counts().resets)
+		require.Equal(t, 1, h.counts().gone, "the other watches may have been forgotten too")
 	})
 }
 
 func TestABurstOfChangesCostsFewCalls(t *testing.T) {
 	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
 		time.Sleep(time.Second)
-		before := h.applied
+		before := h.counts().applied
 		for range 50 {
 			s.set("a", "1")
 			time.Sleep(10 * time.Millisecond)
@@ -214,7 +229,7 @@
 		s.set("a", "2")
 		time.Sleep(time.Second)
 		require.Equal(t, "2", h.get("a"))
-		require.LessOrEqual(t, h.applied-before, 7)
+		require.LessOrEqual(t, h.counts().applied-before, 7)
 	})
 }
 
@@ -229,7 +244,7 @@
 		s.with(func() { s.isAway, s.lastWait = false, 0 })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, "1", h.get("b"))
-		require.LessOrEqual(t, s.firstWait, time.Second)
+		s.with(func() { require.LessOrEqual(t, s.firstWait, time.Second) })
 	})
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -89,8 +89,9 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	return &http.Transport{
-		DialContext:        config.DialContext,
-		TLSClientConfig:    config.TLS,
+		DialContext: config.DialContext,
+		// A transport changes its configuration, and there are two of them.
+		TLSClientConfig:    config.TLS.Clone(),
 		Protocols:          protocols,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -218,6 +219,22 @@
 	wait.Wait()
 }
 
+// The control and the data connections have a transport each, and a transport
+// changes the TLS configuration that it is given.
+func TestTheTLSConfigurationIsNotShared(t *testing.T) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	client := messenger.NewClient(messenger.ClientConfig{
+		TLS: config,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			return nil, net.ErrClosed
+		},
+	})
+	defer client.Close()
+	_, err := client.Probe(t.Context(), "127.0.0.1:1", &peerpb.ProbeRequest{})
+	require.Error(t, err)
+	require.Empty(t, config.NextProtos)
+}
+
 func BenchmarkForward(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,25 @@
 	return state, nil
 }
 
+// seen returns the instances that were asked, those that were told dead, and how
+// often the set of the dead changed.
+func (f *fleet) seen() (asked int, removed []string, changes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked), slices.Clone(f.removed), f.changes
+}
+
+func (f *fleet) removedIDs() []string {
+	_, removed, _ := f.seen()
+	return removed
+}
+
+func (f *fleet) changed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes++
+}
+
 func (f *fleet) kill(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,7 +92,7 @@
 				defer f.mu.Unlock()
 				f.removed = append(f.removed, i.ID)
 			},
-			OnChange: func() { f.changes++ },
+			OnChange: f.changed,
 			Log:      slog.New(slog.DiscardHandler),
 		})
 		p.SetInstances(all)
@@ -89,12 +109,12 @@
 func TestADeadInstanceIsNoticed(t *testing.T) {
 	run(t, 4, func(f *fleet, p *prober.Prober, all []namer.Instance) {
 		time.Sleep(10 * time.Second)
-		require.Empty(t, f.removed)
+		require.Empty(t, f.removedIDs())
 		f.kill(all[2].ID)
 		time.Sleep(4 * time.Second)
 		require.True(t, p.IsDead(all[2]))
 		require.False(t, p.IsDead(all[1]))
-		require.Equal(t, []string{all[2].ID}, f.removed, "told once")
+		require.Equal(t, []string{all[2].ID}, f.removedIDs(), "told once")
 
 		reborn := all[2]
 		reborn.Incarnation = 2
@@ -115,7 +135,7 @@
 			time.Sleep(2 * time.Second)
 		}
 		require.False(t, p.IsDead(all[1]))
-		require.Empty(t, f.removed)
+		require.Empty(t, f.removedIDs())
 	})
 }
 
@@ -135,7 +155,8 @@
 		f.set(all[1].ID, prober.State{Incarnation: 1})
 		time.Sleep(2 * time.Second)
 		require.False(t, p.IsDead(all[1]))
-		require.Equal(t, 2, f.changes)
+		_, _, changes := f.seen()
+		require.Equal(t, 2, changes)
 	})
 }
 
@@ -144,12 +165,14 @@
 func TestAnInstanceAsksAFewOthers(t *testing.T) {
 	run(t, 200, func(f *fleet, p *prober.Prober, all []namer.Instance) {
 		time.Sleep(10 * time.Second)
-		require.Len(t, f.asked, 8)
+		asked, _, _ := f.seen()
+		require.Equal(t, 8, asked)
 		for _, i := range all[1:9] {
 			f.kill(i.ID)
 		}
 		time.Sleep(8 * time.Second)
-		require.Len(t, f.removed, 8)
-		require.Len(t, f.asked, 16)
+		asked, removed, _ := f.seen()
+		require.Len(t, removed, 8)
+		require.Equal(t, 16, asked)
 	})
 }
