--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -44,15 +44,21 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
+	defer w.reportDropped()
 	for line := range w.lines {
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			w.report.Warn("log lines were dropped", EventLinesDropped.Attr(), slog.Uint64("count", dropped))
-		}
+		w.reportDropped()
 		// There is no place to report a failed write of the log to.
 		_, _ = w.out.Write(line)
 	}
 }
 
+// reportDropped says how many lines were dropped since it was last called.
+func (w *Writer) reportDropped() {
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		w.report.Warn("log lines were dropped", EventLinesDropped.Attr(), slog.Uint64("count", dropped))
+	}
+}
+
 // Close writes the lines that wait. No line may be written afterwards.
 func (w *Writer) Close() {
 	close(w.lines)
