fix: an abandoned claim that was handed over does not block its own request, nor release a newer claim

An entry claims a key, the home grants it and its answer is lost because the home stops. The entry gives the claim up and tells the home, but the home has handed the claim over already, so the next home holds it as running: the request meets its own claim until its deadline. Change: tries that were given up are told to the holders of now before each further try; a hand-over without a result never replaces another claim.

--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -53,6 +53,10 @@
 	Deadline time.Time
 	// Expires is until when repeats are recognised.
 	Expires time.Time
+
+	// abandoned are the IDs of earlier tries under which nothing has run, but
+	// which other instances may still hold.
+	abandoned []uint64
 }
 
 // Deduplicator claims keys and answers for the keys that it is the home of.
@@ -124,8 +128,37 @@
 	}
 }
 
+// release ends the abandoned tries of a claim wherever they may be held by now: a
+// home that left may have handed them over before it was told that they ended.
+func (d *Deduplicator) release(ctx context.Context, claim *Claim) {
+	if len(claim.abandoned) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var told sync.WaitGroup
+	for _, id := range claim.abandoned {
+		request := notRun(claim.Key, d.config.Self, id)
+		d.settleHere(request)
+		for _, m := range d.holders(claim.Key) {
+			if m.ID == d.config.Self {
+				continue
+			}
+			// A holder that does not answer is told again at the next try.
+			told.Go(func() { _, _ = d.config.Peer.Settle(ctx, m.PeerAddress, request) })
+		}
+	}
+	told.Wait()
+}
+
+// notRun is the result of a claim under which nothing has run.
+func notRun(key, executor string, id uint64) *peerpb.SettleRequest {
+	return &peerpb.SettleRequest{Key: key, Executor: executor, ClaimId: id, Result: peerpb.SettleRequest_RESULT_NOT_RUN}
+}
+
 // try asks the key's home once.
 func (d *Deduplicator) try(ctx context.Context, claim *Claim) *peerpb.ClaimResponse {
+	d.release(ctx, claim)
 	request := &peerpb.ClaimRequest{
 		Key:                claim.Key,
 		Executor:           d.config.Self,
@@ -143,7 +176,7 @@
 	}
 	home := holders[0]
 	if home.ID != d.config.Self {
-		return d.claimAt(ctx, home, request)
+		return d.claimAt(ctx, home, claim, request)
 	}
 	response := d.HandleClaim(ctx, request)
 	if response.Verdict != peerpb.ClaimResponse_VERDICT_GRANTED || len(holders) == 1 {
@@ -152,12 +185,8 @@
 	if d.witness(ctx, holders[1:], request) {
 		return response
 	}
-	d.settleHere(&peerpb.SettleRequest{
-		Key:      claim.Key,
-		Executor: d.config.Self,
-		ClaimId:  claim.ID,
-		Result:   peerpb.SettleRequest_RESULT_NOT_RUN,
-	})
+	d.settleHere(notRun(claim.Key, d.config.Self, claim.ID))
+	claim.abandoned = append(claim.abandoned, claim.ID)
 	return verdict(peerpb.ClaimResponse_VERDICT_UNREACHABLE, "no second instance holds the claim")
 }
 
@@ -191,7 +220,7 @@
 }
 
 // claimAt claims a key at a home elsewhere and holds the claim here as well.
-func (d *Deduplicator) claimAt(ctx context.Context, home pollencrank.Instance, request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
+func (d *Deduplicator) claimAt(ctx context.Context, home pollencrank.Instance, claim *Claim, request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
 	if !d.add(request) {
 		return verdict(peerpb.ClaimResponse_VERDICT_FULL, "too many claims")
 	}
@@ -206,15 +235,11 @@
 	}
 	// The home may hold a claim whose answer was lost. It is released there;
 	// nothing has run under it.
-	notRun := &peerpb.SettleRequest{
-		Key:      request.Key,
-		Executor: request.Executor,
-		ClaimId:  request.ClaimId,
-		Result:   peerpb.SettleRequest_RESULT_NOT_RUN,
-	}
-	d.settleHere(notRun)
+	ended := notRun(request.Key, request.Executor, request.ClaimId)
+	d.settleHere(ended)
 	if err != nil {
-		go d.sendResult(home, notRun)
+		claim.abandoned = append(claim.abandoned, request.ClaimId)
+		go d.sendResult(home, ended)
 	}
 	return response
 }
--- a/deduplicator/table.go
+++ b/deduplicator/table.go
@@ -147,7 +147,8 @@
 }
 
 // takeOver adds a claim that another instance hands over, unless the table
-// knows the key with a result already.
+// knows the key with a result already, or as claimed anew: the older claim was
+// then abandoned, and its end must not release the newer one.
 func (t *Table) takeOver(m *peerpb.ClaimRecord, now time.Time) {
 	r := fromMessage(m)
 	if !now.Before(r.expires) {
@@ -157,6 +158,9 @@
 	if known != nil && known.result != peerpb.SettleRequest_RESULT_UNSPECIFIED {
 		return
 	}
+	if known != nil && known.id != r.id && r.result == peerpb.SettleRequest_RESULT_UNSPECIFIED {
+		return
+	}
 	if known != nil {
 		t.remove(known)
 	}
