feat: overdue and timed-out requests make a server count as slow

Change: the most overdue request at a server (from 4 times its expected time) is its slowness; one that was not answered in time weighs half.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -18,9 +18,9 @@
 // are not the most urgent may be expected to take.
 const lateness = 1.5
 
-// choose returns the server for the next attempt of a call, or why there is
-// none.
-func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (*registrar.Backend, error) {
+// choose returns the server for the next attempt of a call and the time in which
+// its answer is expected, or why there is none.
+func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (*registrar.Backend, time.Duration, error) {
 	order := f.order(call)
 	work := f.work.Of(workKey(call), initialWork(call))
 	refused := map[*registrar.Backend]bool{}
@@ -28,7 +28,7 @@
 		backends, options := f.options(call, order, refused, now)
 		choice, ok := selector.Choose(options, work)
 		if !ok {
-			return nil, refusal(pollencrank.ReasonNoServer, work, now, "no server of %s may get the request", call.service.Name)
+			return nil, 0, refusal(pollencrank.ReasonNoServer, work, now, "no server of %s may get the request", call.service.Name)
 		}
 		backend := backends[choice.Index]
 		if backend.IsCold(now) && !f.config.Warmer.Take(backend.Server().ID, call.service.ColdRate, now) {
@@ -36,9 +36,9 @@
 			continue
 		}
 		if err := f.admit(call, backend, choice, now, attempt); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
-		return backend, nil
+		return backend, choice.Expected, nil
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -117,7 +117,7 @@
 	var lastAnswer *pollencrank.Answer
 	for attempt := 1; attempt <= call.Route.MaxAttempts; attempt++ {
 		now := time.Now()
-		backend, err := f.choose(call, now, attempt)
+		backend, expected, err := f.choose(call, now, attempt)
 		if err == nil && attempt > 1 && !budget.Withdraw(now) {
 			err = pollencrank.NotRun(pollencrank.ReasonRetryBudget, "no further attempt is left in the budget")
 		}
@@ -125,7 +125,7 @@
 			failure.Add(err)
 			break
 		}
-		answer, err := f.try(ctx, call, backend)
+		answer, err := f.try(ctx, call, backend, expected)
 		if err == nil && !isServerError(answer) {
 			return answer, nil
 		}
@@ -168,7 +168,7 @@
 }
 
 // try sends the request to one server.
-func (f *Forwarder) try(ctx context.Context, call *Call, backend *registrar.Backend) (*pollencrank.Answer, error) {
+func (f *Forwarder) try(ctx context.Context, call *Call, backend *registrar.Backend, expected time.Duration) (*pollencrank.Answer, error) {
 	call.tried = append(call.tried, backend)
 	server := backend.Server()
 	request := *call.Request
@@ -180,8 +180,8 @@
 		Address:        server.Address,
 		MaxConnections: f.config.Budgets.Connections(call.service.MaxConnections),
 	}
-	backend.Begin()
 	started := time.Now()
+	sent := backend.Begin(started, expected)
 	answer, err := f.config.Sender.Send(ctx, target, &request)
 	if err == nil {
 		err = check(answer, &request)
@@ -189,7 +189,7 @@
 	if err == nil {
 		err = readWhole(answer)
 	}
-	backend.End()
+	backend.End(sent)
 	f.observe(ctx, call, backend, answer, err, time.Since(started))
 	if err != nil {
 		return nil, err
@@ -246,7 +246,7 @@
 	now := time.Now()
 	server := backend.Server()
 	if err != nil {
-		f.observeFailure(ctx, call, backend, err, now)
+		f.observeFailure(ctx, call, backend, err, took, now)
 		return
 	}
 	f.absolve(call, now)
@@ -267,10 +267,16 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
 }
 
-func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, now time.Time) {
+func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, took time.Duration, now time.Time) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
+	var unknown *pollencrank.OutcomeUnknownError
+	if errors.As(err, &unknown) && unknown.Reason == pollencrank.ReasonDeadlinePassed {
+		usual := f.work.Of(workKey(call), initialWork(call))
+		backend.TimedOut(float64(took)/float64(usual), now)
+		return
+	}
 	var notRun *pollencrank.NotRunError
 	if !errors.As(err, &notRun) {
 		backend.Failed(now)
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -24,7 +24,13 @@
 	forgetHalfLife = 2 * time.Second
 	// maxSlowness bounds the factor by which a server counts as slow.
 	maxSlowness = 8
-	minSlowness = 0.5
+	// overdueAfter is the multiple of its expected time from which a request
+	// that is still unanswered counts as a sign of a slow server. Work on an
+	// object that the server does not know takes less.
+	overdueAfter = 4
+	// timeoutWeight is the weight of a request that was not answered in time.
+	timeoutWeight = 0.5
+	minSlowness   = 0.5
 )
 
 // Backend is one start of a backend server with what this instance has seen of
@@ -32,9 +38,10 @@
 type Backend struct {
 	server      atomic.Pointer[Server]
 	isEvacuated atomic.Bool
-	inFlight    atomic.Int64
 
 	mu sync.Mutex
+	// inFlight are this instance's requests at the server.
+	inFlight map[*InFlight]struct{}
 	// others is the load of other instances when the server last told its own.
 	others     float64
 	othersAt   time.Time
@@ -48,8 +55,14 @@
 	isMisdirected  bool
 }
 
+// InFlight is one request at a server.
+type InFlight struct {
+	began    time.Time
+	expected time.Duration
+}
+
 func newBackend(s Server) *Backend {
-	b := &Backend{slowness: 1}
+	b := &Backend{slowness: 1, inFlight: map[*InFlight]struct{}{}}
 	b.server.Store(&s)
 	return b
 }
@@ -93,17 +106,28 @@
 	}
 }
 
-// Begin counts a request that is sent to the server.
-func (b *Backend) Begin() { b.inFlight.Add(1) }
+// Begin counts a request that is sent to the server, with the time in which its
+// answer is expected.
+func (b *Backend) Begin(now time.Time, expected time.Duration) *InFlight {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	request := &InFlight{began: now, expected: max(expected, time.Millisecond)}
+	b.inFlight[request] = struct{}{}
+	return request
+}
 
 // End counts a request that has ended.
-func (b *Backend) End() { b.inFlight.Add(-1) }
+func (b *Backend) End(request *InFlight) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.inFlight, request)
+}
 
 // Report takes the load that the server tells of itself.
 func (b *Backend) Report(running, waiting int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = max(0, float64(running+waiting)-float64(b.inFlight.Load()))
+	b.others = max(0, float64(running+waiting)-float64(len(b.inFlight)))
 	b.othersAt = now
 }
 
@@ -111,7 +135,7 @@
 func (b *Backend) Load(now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return float64(b.inFlight.Load()) + b.others*decay(now.Sub(b.othersAt), loadHalfLife)
+	return float64(len(b.inFlight)) + b.others*decay(now.Sub(b.othersAt), loadHalfLife)
 }
 
 func decay(age, halfLife time.Duration) float64 {
@@ -135,6 +159,13 @@
 }
 
 func (b *Backend) health(now time.Time) Health {
+	h := b.seen(now)
+	h.Slowness = max(h.Slowness, b.overdue(now))
+	return h
+}
+
+// seen is what ended requests showed of the server. The lock is held.
+func (b *Backend) seen(now time.Time) Health {
 	left := decay(now.Sub(b.seenAt), forgetHalfLife)
 	return Health{
 		Slowness:     1 + (b.slowness-1)*left,
@@ -142,13 +173,26 @@
 	}
 }
 
+// overdue is the multiple of its expected time that the most overdue request at
+// the server has taken so far, or zero if none is overdue. The lock is held.
+func (b *Backend) overdue(now time.Time) float64 {
+	most := 0.0
+	for request := range b.inFlight {
+		most = max(most, float64(now.Sub(request.began))/float64(request.expected))
+	}
+	if most < overdueAfter {
+		return 0
+	}
+	return min(most, maxSlowness)
+}
+
 // Succeeded records an answer that took ratio times as long as usual. It
 // returns true if the server could not be reached before, which means that it
 // may have started anew.
 func (b *Backend) Succeeded(ratio float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.health(now)
+	h := b.seen(now)
 	ratio = min(max(ratio, minSlowness), maxSlowness)
 	b.slowness = h.Slowness + (ratio-h.Slowness)*speedWeight
 	b.failures = h.FailureShare * (1 - failureWeight)
@@ -162,12 +206,24 @@
 func (b *Backend) Failed(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.health(now)
+	h := b.seen(now)
 	b.slowness = h.Slowness
 	b.failures = h.FailureShare + (1-h.FailureShare)*failureWeight
 	b.seenAt = now
 }
 
+// TimedOut records a request that the server did not answer within ratio times
+// the usual time.
+func (b *Backend) TimedOut(ratio float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.seen(now)
+	ratio = min(max(ratio, 1), maxSlowness)
+	b.slowness = h.Slowness + max(0, ratio-h.Slowness)*timeoutWeight
+	b.failures = h.FailureShare + (1-h.FailureShare)*failureWeight
+	b.seenAt = now
+}
+
 // Unreachable records that the server could not be reached and suspends it.
 func (b *Backend) Unreachable(now time.Time) {
 	b.mu.Lock()
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -163,11 +163,41 @@
 	r, c := newRegistrar()
 	r.Servers().Reset(put(server("a")))
 	backend := r.Backends("parts")[0]
-	backend.Begin()
+	sent := backend.Begin(c.now, time.Second)
 	backend.Report(4, 3, c.now)
 	require.InDelta(t, 7, backend.Load(c.now), 0.01, "6 of others and 1 of this instance")
 	c.pass(10 * time.Second)
 	require.InDelta(t, 1, backend.Load(c.now), 0.01)
-	backend.End()
+	backend.End(sent)
 	require.InDelta(t, 0, backend.Load(c.now), 0.01)
 }
+
+// A server that falls silent answers nothing that would show it: what it owes does.
+func TestARequestThatIsOverdueMakesItsServerSlow(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	const expected = 100 * time.Millisecond
+	sent := backend.Begin(c.now, expected)
+	c.pass(3 * expected)
+	require.InDelta(t, 1, backend.Health(c.now).Slowness, 0.01, "work on an unknown object takes as long")
+	c.pass(3 * expected)
+	require.InDelta(t, 6, backend.Health(c.now).Slowness, 0.01)
+	c.pass(time.Minute)
+	require.InDelta(t, 8, backend.Health(c.now).Slowness, 0.01, "bounded")
+	backend.End(sent)
+	require.InDelta(t, 1, backend.Health(c.now).Slowness, 0.01)
+}
+
+func TestARequestThatWasNotAnsweredInTimeMakesItsServerSlowForAWhile(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(put(server("a")))
+	backend := r.Backends("parts")[0]
+	backend.TimedOut(5, c.now)
+	require.InDelta(t, 3, backend.Health(c.now).Slowness, 0.01)
+	require.Greater(t, backend.Health(c.now).FailureShare, 0.1)
+	backend.TimedOut(0.1, c.now)
+	require.InDelta(t, 3, backend.Health(c.now).Slowness, 0.01, "a caller that left little time says nothing of the server's speed")
+	c.pass(20 * time.Second)
+	require.InDelta(t, 1, backend.Health(c.now).Slowness, 0.01)
+}
