feat: pipelined requests of a connection run at the same time

Change: package pipeliner reads with net/http's parser, runs idempotent requests of a connection at the same time and answers in order; an order waits for the answers before it. The end of a connection comes with the last answer that was begun.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,7 @@
 	"github.com/pollencrank/pollencrank/isolator"
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/pipeliner"
 	"github.com/pollencrank/pollencrank/prober"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
@@ -194,13 +195,14 @@
 	h.config.Log.Info("the instance has started", recorder.EventStarted.Attr(),
 		slog.String("instance", h.config.Self.ID), slog.String("failureDomain", h.config.Self.FailureDomain),
 		slog.String("region", h.config.Self.Region), slog.String("callers", h.config.Self.CallerAddress))
-	callers := &http.Server{
+	callers := pipeliner.New(pipeliner.Config{
 		Handler:           h.relayer,
+		MayOverlap:        h.relayer.MayOverlap,
 		ConnState:         h.idles.Track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(h.config.Log.Handler(), slog.LevelDebug),
-	}
+		Log:               h.config.Log,
+	})
 	h.serve(callers, h.config.Listeners.Callers)
 	h.serve(&http.Server{Handler: h.readyHandler()}, h.config.Listeners.Ready)
 	h.serve(&http.Server{Handler: h.lookupHandler()}, h.config.Listeners.Lookups)
@@ -220,8 +222,15 @@
 	return h.tomb.Wait()
 }
 
+// server is an http.Server or a pipeliner.Server.
+type server interface {
+	Serve(listener net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // serve answers on a listener until the instance ends.
-func (h *Hoster) serve(server *http.Server, listener net.Listener) {
+func (h *Hoster) serve(server server, listener net.Listener) {
 	h.tomb.Go(func() error {
 		err := server.Serve(listener)
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"github.com/pollencrank/pollencrank/recorder"
@@ -24,7 +23,7 @@
 // stop performs a planned stop: look-ups and the ready check turn callers away,
 // every answer closes its connection, what still comes is served for a while,
 // then refused, and what was begun is finished.
-func (h *Hoster) stop(callers *http.Server) {
+func (h *Hoster) stop(callers server) {
 	started := time.Now()
 	refuseAt := started.Add(time.Duration(float64(h.config.StopGrace) * servePart))
 	killAt := started.Add(time.Duration(float64(h.config.StopGrace) * finishPart))
--- /dev/null
+++ b/pipeliner/exchange.go
@@ -0,0 +1,254 @@
+package pipeliner
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httputil"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// exchange is one request and its answer. It implements http.ResponseWriter for
+// the handler.
+type exchange struct {
+	conn    *conn
+	request *http.Request
+	body    *requestBody
+	// previous is the exchange whose answer goes before this one's.
+	previous *exchange
+	// ended is closed when the answer was given, or never will be.
+	ended chan struct{}
+
+	header        http.Header
+	isHeaderSent  bool
+	hasBody       bool
+	contentLength int64
+	written       int64
+	chunks        io.WriteCloser
+}
+
+var _ http.ResponseWriter = (*exchange)(nil)
+
+func newExchange(c *conn, request *http.Request, previous *exchange) *exchange {
+	e := &exchange{
+		conn:          c,
+		request:       request.WithContext(c.gone),
+		previous:      previous,
+		ended:         make(chan struct{}),
+		header:        http.Header{},
+		contentLength: -1,
+	}
+	if request.Body != nil && request.Body != http.NoBody {
+		e.body = &requestBody{
+			ReadCloser: request.Body,
+			atEnd:      make(chan struct{}),
+		}
+		if httpguts.HeaderValuesContainsToken(request.Header["Expect"], "100-continue") {
+			e.body.onFirstRead = e.sendContinue
+		}
+		e.request.Body = e.body
+	}
+	return e
+}
+
+// run runs the handler and ends the answer.
+func (e *exchange) run() {
+	defer e.conn.end(e)
+	defer e.recover()
+	e.conn.server.config.Handler.ServeHTTP(e, e.request)
+	e.finish()
+}
+
+// recover cuts the connection if the handler gave its answer up.
+func (e *exchange) recover() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		e.conn.server.config.Log.Error("a handler panicked", slog.Any("cause", cause), slog.String("stack", string(debug.Stack())))
+	}
+	e.awaitTurn()
+	_ = e.conn.writer.Flush()
+	e.conn.abort()
+}
+
+// awaitTurn waits until the answers before this one were given.
+func (e *exchange) awaitTurn() {
+	if e.previous != nil {
+		<-e.previous.ended
+		e.previous = nil
+	}
+}
+
+// awaitBody waits until the body was read or is not wanted any more: the next
+// request is behind it.
+func (e *exchange) awaitBody() {
+	if e.body == nil {
+		return
+	}
+	select {
+	case <-e.body.atEnd:
+	case <-e.ended:
+	}
+}
+
+func (e *exchange) sendContinue() {
+	if e.isHeaderSent {
+		return
+	}
+	e.awaitTurn()
+	_, _ = io.WriteString(e.conn.writer, "HTTP/1.1 100 Continue\r\n\r\n")
+	_ = e.conn.writer.Flush()
+}
+
+// Header implements http.ResponseWriter.
+func (e *exchange) Header() http.Header { return e.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (e *exchange) WriteHeader(status int) {
+	if e.isHeaderSent || status < http.StatusOK {
+		return
+	}
+	e.isHeaderSent = true
+	wantsClose := e.wantsClose()
+	e.awaitTurn()
+	e.frame(status)
+	if e.hasBody && e.contentLength < 0 && !e.request.ProtoAtLeast(1, 1) {
+		wantsClose = true
+	}
+	isLast := e.conn.isLastAnswer(e, wantsClose)
+	e.header.Del("Connection")
+	switch {
+	case isLast:
+		e.header.Set("Connection", "close")
+	case !e.request.ProtoAtLeast(1, 1):
+		e.header.Set("Connection", "keep-alive")
+	}
+	if e.header.Get("Date") == "" {
+		e.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+	_, _ = fmt.Fprintf(e.conn.writer, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
+	_ = e.header.Write(e.conn.writer)
+	_, _ = io.WriteString(e.conn.writer, "\r\n")
+}
+
+// wantsClose reports whether the connection cannot be used after the answer.
+func (e *exchange) wantsClose() bool {
+	if httpguts.HeaderValuesContainsToken(e.header["Connection"], "close") || e.request.Close {
+		return true
+	}
+	return e.body != nil && !e.body.drain()
+}
+
+// frame chooses how the end of the answer is marked.
+func (e *exchange) frame(status int) {
+	e.header.Del("Transfer-Encoding")
+	length, err := strconv.ParseInt(strings.TrimSpace(e.header.Get("Content-Length")), 10, 64)
+	if err == nil && length >= 0 {
+		e.contentLength = length
+	} else {
+		e.header.Del("Content-Length")
+	}
+	if status == http.StatusNoContent || status == http.StatusNotModified || e.request.Method == http.MethodHead {
+		return
+	}
+	e.hasBody = true
+	if e.contentLength < 0 && e.request.ProtoAtLeast(1, 1) {
+		e.header.Set("Transfer-Encoding", "chunked")
+		e.chunks = httputil.NewChunkedWriter(e.conn.writer)
+	}
+}
+
+// Write implements io.Writer.
+func (e *exchange) Write(p []byte) (int, error) {
+	if !e.isHeaderSent {
+		e.WriteHeader(http.StatusOK)
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if !e.hasBody {
+		return 0, http.ErrBodyNotAllowed
+	}
+	if e.contentLength >= 0 && e.written+int64(len(p)) > e.contentLength {
+		return 0, http.ErrContentLength
+	}
+	e.written += int64(len(p))
+	if e.chunks != nil {
+		return e.chunks.Write(p)
+	}
+	return e.conn.writer.Write(p)
+}
+
+// finish ends the answer. One that is shorter than it says cuts the connection.
+func (e *exchange) finish() {
+	if !e.isHeaderSent {
+		e.header.Set("Content-Length", "0")
+		e.WriteHeader(http.StatusOK)
+	}
+	if e.hasBody && e.contentLength > e.written {
+		panic(http.ErrAbortHandler)
+	}
+	err := e.endChunks()
+	if flushErr := e.conn.writer.Flush(); err != nil || flushErr != nil {
+		e.conn.abort()
+	}
+}
+
+func (e *exchange) endChunks() error {
+	if e.chunks == nil {
+		return nil
+	}
+	err := e.chunks.Close()
+	_, trailerErr := io.WriteString(e.conn.writer, "\r\n")
+	return errors.Join(err, trailerErr)
+}
+
+// requestBody is the body of a request. It tells when its end was reached.
+type requestBody struct {
+	io.ReadCloser
+	onFirstRead func()
+	once        sync.Once
+	atEnd       chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	if b.onFirstRead != nil {
+		b.onFirstRead()
+		b.onFirstRead = nil
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.once.Do(func() { close(b.atEnd) })
+	}
+	return n, err
+}
+
+// Close implements io.Closer. What is left of the body is read when the answer
+// is given.
+func (b *requestBody) Close() error { return nil }
+
+// drain reads a short rest of the body and reports whether its end was reached.
+// A caller that waits to be told to send the body does not send it.
+func (b *requestBody) drain() bool {
+	if b.onFirstRead != nil {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, b, maxDrainBytes)
+	select {
+	case <-b.atEnd:
+		return true
+	default:
+		return errors.Is(err, io.EOF)
+	}
+}
--- /dev/null
+++ b/pipeliner/pipeliner_test.go
@@ -0,0 +1,355 @@
+package pipeliner_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/pipeliner"
+)
+
+// door lets handlers wait until a test opens their path.
+type door struct {
+	mu    sync.Mutex
+	doors map[string]chan struct{}
+	begun chan string
+}
+
+func newDoor() *door {
+	const most = 64
+	return &door{doors: map[string]chan struct{}{}, begun: make(chan string, most)}
+}
+
+func (d *door) of(path string) chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.doors[path] == nil {
+		d.doors[path] = make(chan struct{})
+	}
+	return d.doors[path]
+}
+
+func (d *door) open(path string) { close(d.of(path)) }
+
+// ServeHTTP waits until the path is opened and answers with it.
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.begun <- r.URL.Path
+	select {
+	case <-d.of(r.URL.Path):
+	case <-r.Context().Done():
+		return
+	}
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+// isSafe lets GET requests overlap.
+func isSafe(r *http.Request) bool { return r.Method == http.MethodGet }
+
+type fixture struct {
+	*testing.T
+	server  *pipeliner.Server
+	address string
+}
+
+func start(t *testing.T, handler http.Handler) *fixture {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := pipeliner.New(pipeliner.Config{Handler: handler, MayOverlap: isSafe, MaxHeaderBytes: 8 << 10})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, server.Close())
+		require.ErrorIs(t, <-done, http.ErrServerClosed)
+	})
+	return &fixture{T: t, server: server, address: listener.Addr().String()}
+}
+
+type caller struct {
+	net.Conn
+	*testing.T
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial() *caller {
+	conn, err := net.Dial("tcp", f.address)
+	require.NoError(f, err)
+	f.Cleanup(func() { _ = conn.Close() })
+	return &caller{Conn: conn, T: f.T, reader: bufio.NewReader(conn)}
+}
+
+func (c *caller) send(method, path, rest string) {
+	if rest == "" {
+		rest = "\r\n"
+	}
+	_, err := fmt.Fprintf(c.Conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\n%s", method, path, rest)
+	require.NoError(c.T, err)
+}
+
+// answer reads the next answer and its body.
+func (c *caller) answer() (*http.Response, string) {
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.T, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.T, err)
+	return response, string(body)
+}
+
+func (c *caller) requireClosed() {
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(c.T, err, io.EOF)
+}
+
+func TestRequestsOfOneConnectionRunAtTheSameTimeAndAreAnsweredInOrder(t *testing.T) {
+	d := newDoor()
+	c := start(t, d).dial()
+	c.send(http.MethodGet, "/slow", "")
+	c.send(http.MethodGet, "/fast", "")
+	require.ElementsMatch(t, []string{"/slow", "/fast"}, []string{<-d.begun, <-d.begun}, "both run before either is answered")
+	d.open("/fast")
+	d.open("/slow")
+	_, body := c.answer()
+	require.Equal(t, "/slow", body)
+	_, body = c.answer()
+	require.Equal(t, "/fast", body)
+}
+
+func TestARequestThatMayNotRunTwiceWaitsForTheAnswersBeforeIt(t *testing.T) {
+	d := newDoor()
+	c := start(t, d).dial()
+	c.send(http.MethodGet, "/lookup", "")
+	c.send(http.MethodPost, "/order", "Content-Length: 2\r\n\r\nhi")
+	require.Equal(t, "/lookup", <-d.begun)
+	require.Empty(t, d.begun)
+	d.open("/lookup")
+	_, body := c.answer()
+	require.Equal(t, "/lookup", body)
+	require.Equal(t, "/order", <-d.begun)
+	d.open("/order")
+	_, body = c.answer()
+	require.Equal(t, "/order", body)
+}
+
+func TestTheRequestBehindABodyIsReadAfterIt(t *testing.T) {
+	var bodies []string
+	c := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		bodies = append(bodies, string(body))
+		_, _ = w.Write(body)
+	})).dial()
+	c.send(http.MethodPost, "/a", "Content-Length: 3\r\n\r\none")
+	c.send(http.MethodPost, "/b", "Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n")
+	_, body := c.answer()
+	require.Equal(t, "one", body)
+	_, body = c.answer()
+	require.Equal(t, "two", body)
+	require.Equal(t, []string{"one", "two"}, bodies)
+}
+
+func TestABodyThatTheHandlerLeftIsNotTakenForARequest(t *testing.T) {
+	c := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	})).dial()
+	smuggled := "GET /smuggled HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+	c.send(http.MethodPost, "/a", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(smuggled), smuggled))
+	c.send(http.MethodGet, "/b", "")
+	_, body := c.answer()
+	require.Equal(t, "/a", body)
+	_, body = c.answer()
+	require.Equal(t, "/b", body)
+}
+
+func TestAVeryLongBodyThatTheHandlerLeftEndsTheConnection(t *testing.T) {
+	const length = 1 << 20
+	c := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})).dial()
+	go func() {
+		_, _ = fmt.Fprintf(c.Conn, "POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: %d\r\n\r\n", length)
+		_, _ = io.WriteString(c.Conn, strings.Repeat("x", length))
+	}()
+	response, _ := c.answer()
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	require.True(t, response.Close)
+}
+
+// An answer that closes the connection does so only behind the answers to what
+// was begun already.
+func TestTheLastOfSeveralAnswersClosesTheConnection(t *testing.T) {
+	d := newDoor()
+	closing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		d.ServeHTTP(w, r)
+	})
+	c := start(t, closing).dial()
+	for _, path := range []string{"/a", "/b"} {
+		c.send(http.MethodGet, path, "")
+		require.Equal(t, path, <-d.begun)
+	}
+	d.open("/a")
+	d.open("/b")
+	first, body := c.answer()
+	require.Equal(t, "/a", body)
+	require.False(t, first.Close)
+	second, body := c.answer()
+	require.Equal(t, "/b", body)
+	require.True(t, second.Close)
+	c.requireClosed()
+}
+
+func TestACallerThatAsksForTheEndGetsIt(t *testing.T) {
+	c := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})).dial()
+	c.send(http.MethodGet, "/a", "Connection: close\r\n\r\n")
+	response, _ := c.answer()
+	require.True(t, response.Close)
+	c.requireClosed()
+}
+
+func TestACallerThatLeavesEndsItsRequests(t *testing.T) {
+	ended := make(chan error, 2)
+	d := newDoor()
+	f := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.ServeHTTP(w, r)
+		ended <- r.Context().Err()
+	}))
+	for _, header := range []string{"", "Connection: close\r\n\r\n"} {
+		c := f.dial()
+		c.send(http.MethodGet, "/never", header)
+		<-d.begun
+		require.NoError(t, c.Close())
+		require.ErrorIs(t, <-ended, context.Canceled)
+	}
+}
+
+func TestAnAnswerThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"given up": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			panic(http.ErrAbortHandler)
+		},
+		"shorter than it says": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "half")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, handler).dial()
+			c.send(http.MethodGet, "/a", "")
+			response, err := http.ReadResponse(c.reader, nil)
+			if err != nil {
+				return
+			}
+			_, err = io.ReadAll(response.Body)
+			require.Error(t, err)
+		})
+	}
+}
+
+func TestRequestsThatCannotBeReadAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		text   string
+		status int
+	}{
+		"no request":        {"nonsense\r\n\r\n", http.StatusBadRequest},
+		"no host":           {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"two lengths":       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+		"a malformed field": {"GET / HTTP/1.1\r\nHost: a\r\nX y: b\r\n\r\n", http.StatusBadRequest},
+		"a long header":     {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 32<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"another protocol":  {"GET / HTTP/3.0\r\nHost: a\r\n\r\n", http.StatusHTTPVersionNotSupported},
+	}
+	for name, example := range cases {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Bool
+			c := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Store(true) })).dial()
+			go func() { _, _ = io.WriteString(c.Conn, example.text) }()
+			response, _ := c.answer()
+			require.Equal(t, example.status, response.StatusCode)
+			require.True(t, response.Close)
+			require.False(t, ran.Load())
+		})
+	}
+}
+
+func TestACallerIsToldToSendItsBody(t *testing.T) {
+	c := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})).dial()
+	c.send(http.MethodPost, "/a", "Content-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	line, err := c.reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, err = c.reader.ReadString('\n')
+	require.NoError(t, err)
+	_, err = io.WriteString(c.Conn, "one")
+	require.NoError(t, err)
+	_, body := c.answer()
+	require.Equal(t, "one", body)
+}
+
+func TestShutdownEndsIdleConnectionsAndWaitsForAnswers(t *testing.T) {
+	d := newDoor()
+	f := start(t, d)
+	idle, busy := f.dial(), f.dial()
+	d.open("/first")
+	idle.send(http.MethodGet, "/first", "")
+	<-d.begun
+	idle.answer()
+	busy.send(http.MethodGet, "/second", "")
+	<-d.begun
+	ended := make(chan error, 1)
+	go func() { ended <- f.server.Shutdown(context.Background()) }()
+	idle.requireClosed()
+	require.Empty(t, ended)
+	d.open("/second")
+	response, body := busy.answer()
+	require.Equal(t, "/second", body)
+	require.True(t, response.Close)
+	busy.requireClosed()
+	require.NoError(t, busy.Close())
+	require.NoError(t, <-ended)
+	_, err := net.DialTimeout("tcp", f.address, time.Second)
+	require.Error(t, err)
+}
+
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	d := newDoor()
+	f := start(t, d)
+	c := f.dial()
+	c.send(http.MethodGet, "/never", "")
+	<-d.begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, f.server.Shutdown(ctx), context.Canceled)
+}
+
+func TestStatesOfAConnection(t *testing.T) {
+	states := make(chan http.ConnState, 8)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := pipeliner.New(pipeliner.Config{
+		Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		ConnState: func(_ net.Conn, state http.ConnState) { states <- state },
+	})
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	f := &fixture{T: t, server: server, address: listener.Addr().String()}
+	c := f.dial()
+	c.send(http.MethodHead, "/a", "")
+	for _, want := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+		require.Equal(t, want, <-states)
+	}
+	require.NoError(t, c.Close())
+	require.Equal(t, http.StateClosed, <-states)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -100,6 +100,17 @@
 // InFlight returns the number of requests that are not answered yet.
 func (r *Relayer) InFlight() int { return int(r.inFlight.Load()) }
 
+// MayOverlap reports whether a request may run while earlier ones of its
+// connection are not answered yet.
+func (r *Relayer) MayOverlap(incoming *http.Request) bool {
+	table := r.config.Table()
+	if table == nil {
+		return true
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	return route == nil || route.Kind.MayRepeat()
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	started := time.Now()
