feat: a starting entry waits for its configuration, and learns it from other entries while the store is away

After a loss of power requests that came in the 0.17 s before the configuration were refused. Requests wait for the configuration for 0.4 s at most. An entry that is not configured after 0.8 s answers no look-up; in its first 3 s it names others only once they answered it. A later start that says it is ready counts as alive before the store shows it. The own entry is not written twice.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -75,6 +75,7 @@
 		Configurations: platform.Configurations(store, log),
 		Evacuations:    platform.Evacuations(store, log),
 		Instances:      platform.Instances(store, log),
+		Seeds:          settings.Seeds,
 		Retries: limiter.WindowConfig{
 			Share:  settings.Bounds.RetryShare,
 			Extra:  settings.Bounds.RetryExtra,
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -30,22 +30,27 @@
 // is the one that notices outages.
 func (h *Hoster) newFollows() {
 	log := h.config.Log
+	h.handlers = handlers{
+		servers:     &preliminary[registrar.Server]{Handler: serverHandler{Handler: h.registrar.Servers(), h: h}},
+		evacuations: &preliminary[registrar.Evacuation]{Handler: h.registrar.Evacuations()},
+		instances:   &preliminary[namer.Instance]{Handler: h.roster},
+	}
 	h.follows.configurations = follower.New(follower.Config[router.Configuration]{
 		Name: "configuration", Source: h.config.Configurations, Handler: configurationHandler{h},
 		Wait: shortWait, Gather: shortGather,
 		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.servers = follower.New(follower.Config[registrar.Server]{
-		Name: "servers", Source: h.config.Servers, Handler: serverHandler{Handler: h.registrar.Servers(), h: h},
+		Name: "servers", Source: h.config.Servers, Handler: h.handlers.servers,
 		Wait: longWait, Gather: longGather,
 		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.evacuations = follower.New(follower.Config[registrar.Evacuation]{
-		Name: "evacuations", Source: h.config.Evacuations, Handler: h.registrar.Evacuations(),
+		Name: "evacuations", Source: h.config.Evacuations, Handler: h.handlers.evacuations,
 		Wait: longWait, Gather: shortGather, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.instances = follower.New(follower.Config[namer.Instance]{
-		Name: "instances", Source: h.config.Instances, Handler: h.roster,
+		Name: "instances", Source: h.config.Instances, Handler: h.handlers.instances,
 		Wait: longWait, Gather: longGather, OnHistoryGone: h.renewWatches, Log: log,
 	})
 }
@@ -117,6 +122,7 @@
 		table := router.NewTable(item.Value)
 		c.h.table.Store(table)
 		c.h.splitter.Keep(table)
+		c.h.noteConfigured()
 		c.h.wakeRegister()
 		c.h.config.Log.Info("a configuration is in force", recorder.EventConfigurationInForce.Attr(),
 			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)))
@@ -133,5 +139,6 @@
 func (s serverHandler) Reset(items []follower.Item[registrar.Server]) {
 	s.Handler.Reset(items)
 	s.h.hasServers.Store(true)
+	s.h.noteConfigured()
 	s.h.wakeRegister()
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -15,6 +15,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,9 @@
 	Configurations follower.Source[router.Configuration]
 	Evacuations    follower.Source[registrar.Evacuation]
 	Instances      follower.Source[namer.Instance]
+	// Seeds are peer addresses of other instances, to ask while the store does
+	// not answer at the start. Some may be stale.
+	Seeds []string
 
 	Retries limiter.WindowConfig
 	// StopGrace is the time between the request to stop and the kill.
@@ -105,6 +109,13 @@
 	prober    *prober.Prober
 	roster    *roster
 	follows   follows
+	handlers  handlers
+	// peers is the client for calls to other instances.
+	peers *http.Client
+	// isConfigured is closed once the instance can serve callers.
+	isConfigured   chan struct{}
+	configuredOnce sync.Once
+	startedAt      time.Time
 
 	hasServers  atomic.Bool
 	isStopping  atomic.Bool
@@ -123,6 +134,13 @@
 	instances      *follower.Follower[namer.Instance]
 }
 
+// handlers take what the loops learn, and before that what other instances know.
+type handlers struct {
+	servers     *preliminary[registrar.Server]
+	evacuations *preliminary[registrar.Evacuation]
+	instances   *preliminary[namer.Instance]
+}
+
 // New assembles an instance.
 func New(config Config) *Hoster {
 	h := &Hoster{
@@ -133,21 +151,25 @@
 		distances:   forwarder.NewDistances(config.Self.Region),
 		idles:       relayer.NewIdleCloser(),
 		registerNow: make(chan struct{}, 1),
+
+		peers:        newPeerClient(),
+		isConfigured: make(chan struct{}),
+		startedAt:    time.Now(),
 	}
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
 	h.isolator = isolator.New(isolator.Config{})
-	peers := newPeerClient()
-	h.gossip = &gossip{client: peers, peers: h.roster.peers, log: config.Log}
+	h.gossip = &gossip{client: h.peers, peers: h.roster.peers, log: config.Log}
 	h.prober = prober.New(prober.Config{
 		Self:     config.Self.ID,
-		Ask:      asker{peers}.ask,
+		Ask:      asker{h.peers}.ask,
 		OnDead:   h.removeDead,
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
 	h.relayer = relayer.New(relayer.Config{
 		Table:     h.table.Load,
+		Ready:     h.isConfigured,
 		Forwarder: h.newForwarder(),
 		Dialect:   config.Dialect,
 		Log:       config.Log,
@@ -212,6 +234,8 @@
 	h.tomb.Go(h.register)
 	h.tomb.Go(h.sweep)
 	h.goUntilStopped(h.prober.Run)
+	h.goUntilStopped(h.bootstrap)
+	h.tomb.Go(h.trustStore)
 	select {
 	case <-h.tomb.Dying():
 		return h.tomb.Wait()
@@ -244,6 +268,17 @@
 	})
 }
 
+// trustStore lets look-ups name every instance of the store once those that
+// started together with this one have had time to come up.
+func (h *Hoster) trustStore() error {
+	select {
+	case <-h.tomb.Dying():
+	case <-time.After(confirmTime):
+		h.roster.publish()
+	}
+	return nil
+}
+
 // isReady reports whether the instance can serve callers.
 func (h *Hoster) isReady() bool {
 	return h.table.Load() != nil && h.hasServers.Load() && !h.isStopping.Load()
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/namer"
@@ -18,6 +19,8 @@
 type roster struct {
 	h       *Hoster
 	serving atomic.Pointer[[]namer.Instance]
+	// confirmed are those that look-ups name.
+	confirmed atomic.Pointer[[]namer.Instance]
 
 	mu     sync.Mutex
 	listed map[string]listedInstance
@@ -31,6 +34,7 @@
 func newRoster(h *Hoster) *roster {
 	r := &roster{h: h, listed: map[string]listedInstance{}}
 	r.serving.Store(&[]namer.Instance{})
+	r.confirmed.Store(&[]namer.Instance{})
 	return r
 }
 
@@ -81,6 +85,8 @@
 	}
 	slices.SortFunc(serving, func(a, b namer.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	r.serving.Store(&serving)
+	confirmed := slices.DeleteFunc(slices.Clone(serving), r.isUnconfirmed)
+	r.confirmed.Store(&confirmed)
 	ids := make([]string, 0, len(serving))
 	for _, i := range serving {
 		ids = append(ids, i.ID)
@@ -89,6 +95,15 @@
 	r.h.budgets.SetInstances(max(len(r.listed), len(ids)))
 }
 
+// isUnconfirmed reports whether an instance may be one of those that started
+// together with this one and are not up yet.
+func (r *roster) isUnconfirmed(i namer.Instance) bool {
+	if i.ID == r.h.config.Self.ID || time.Since(r.h.startedAt) > confirmTime {
+		return false
+	}
+	return !r.h.prober.HasAnswered(i)
+}
+
 // peers returns the other instances that take requests.
 func (r *roster) peers() []namer.Instance {
 	serving := *r.serving.Load()
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/pollencrank/pollencrank/bootstrapper"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/namer"
@@ -25,6 +26,12 @@
 	maxHeaderBytes    = 64 << 10
 	// lookupLifetime is how long callers may keep the answer to a look-up.
 	lookupLifetime = 1500 * time.Millisecond
+	// startTime is how long an instance usually takes until it can serve callers,
+	// with a margin.
+	startTime = 800 * time.Millisecond
+	// confirmTime is how long after its start an instance names no other one that
+	// has not answered it: all may have started together.
+	confirmTime = 3 * time.Second
 	// serverDialTimeout bounds the opening of a connection to a server.
 	serverDialTimeout = 600 * time.Millisecond
 	// serverIdleTimeout is how long an idle connection to a server is kept.
@@ -36,6 +43,11 @@
 	// peerIdleTimeout is how long an idle connection to an instance is kept.
 	peerIdleTimeout = 5 * time.Second
 	sweepInterval   = 500 * time.Millisecond
+	// registerRetryPause is the pause after the instance's entry could not be
+	// written, registerConfirmPause the time in which the watch shows one that
+	// was written.
+	registerRetryPause   = 400 * time.Millisecond
+	registerConfirmPause = 2500 * time.Millisecond
 	// defaultIdleLimit holds for callers' connections without a configuration.
 	defaultIdleLimit = 60 * time.Second
 )
@@ -104,8 +116,13 @@
 func (h *Hoster) lookupHandler() http.Handler {
 	routes := bunrouter.New()
 	routes.GET(h.config.Lookups.LookupPath, func(w http.ResponseWriter, r bunrouter.Request) error {
+		if h.isStuck() {
+			// Another instance may be able to serve.
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
 		caller := h.config.Lookups.Read(r.Request)
-		named := namer.Choose(*h.roster.serving.Load(), caller)
+		named := namer.Choose(*h.roster.confirmed.Load(), caller)
 		if len(named) == 0 {
 			named = []namer.Instance{h.config.Self}
 		}
@@ -114,16 +131,40 @@
 	return routes
 }
 
+// isStuck reports whether the instance has not learnt in time what it needs to
+// serve callers. One that has only just started will, most likely.
+func (h *Hoster) isStuck() bool {
+	select {
+	case <-h.isConfigured:
+		return false
+	default:
+		return time.Since(h.startedAt) > startTime
+	}
+}
+
 // peerState is what instances tell each other.
 type peerState struct {
 	Incarnation uint64 `json:"incarnation,string"`
 	IsStopping  bool   `json:"isStopping"`
+	IsReady     bool   `json:"isReady"`
 }
 
 func (h *Hoster) peerHandler() http.Handler {
 	routes := bunrouter.New()
 	routes.GET(peerPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
-		return json.NewEncoder(w).Encode(peerState{Incarnation: h.config.Self.Incarnation, IsStopping: h.isStopping.Load()})
+		return json.NewEncoder(w).Encode(peerState{
+			Incarnation: h.config.Self.Incarnation,
+			IsStopping:  h.isStopping.Load(),
+			IsReady:     h.isReady(),
+		})
+	})
+	routes.GET(snapshotPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		snapshot, ok := h.snapshot()
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
+		return bootstrapper.Encode(w, snapshot)
 	})
 	routes.POST(suspectsPath, func(w http.ResponseWriter, r bunrouter.Request) error {
 		records, err := readSuspects(r.Body)
@@ -205,7 +246,6 @@
 
 // register writes the instance's own entry whenever the store lacks it.
 func (h *Hoster) register() error {
-	const pause = 400 * time.Millisecond
 	ctx := h.tomb.Context(context.Background())
 	for {
 		select {
@@ -214,7 +254,9 @@
 		case <-h.registerNow:
 		}
 		for h.isReady() && !h.roster.isRegistered() {
+			pause := registerConfirmPause
 			if err := h.config.Registry.Register(ctx, h.config.Self); err != nil {
+				pause = registerRetryPause
 				h.config.Log.Warn("the instance's entry was not written", recorder.EventRegistrationFailed.Attr(), slog.Any("error", err))
 			} else {
 				h.config.Log.Info("the instance serves callers", recorder.EventReady.Attr())
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -44,6 +44,15 @@
 	Incarnation uint64
 	// IsStopping says that the instance performs a planned stop.
 	IsStopping bool
+	// IsReady says that the instance can serve callers.
+	IsReady bool
+}
+
+// isServing reports whether the state is that of an instance that callers may be
+// sent to: the start that is known, or a later one that the store does not show
+// yet.
+func (s State) isServing(known namer.Instance) bool {
+	return !s.IsStopping && (s.IsReady || s.Incarnation == known.Incarnation)
 }
 
 // Config is the configuration of a Prober.
@@ -54,7 +63,8 @@
 	Ask func(ctx context.Context, instance namer.Instance) (State, error)
 	// OnDead is told of instances that do not answer, or that stop.
 	OnDead func(ctx context.Context, instance namer.Instance)
-	// OnChange is told whenever the set of the dead has changed.
+	// OnChange is told whenever the set of the dead has changed, and when an
+	// instance answers for the first time.
 	OnChange func()
 	Log      *slog.Logger
 }
@@ -67,11 +77,15 @@
 	instances []namer.Instance
 	misses    map[string]int
 	dead      map[string]uint64
+	// answeredBy are the instances that have answered at least once.
+	answeredBy map[string]bool
+	// firstSet wakes the loop when the instances are first known.
+	firstSet chan struct{}
 }
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}}
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, answeredBy: map[string]bool{}, firstSet: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -79,6 +93,9 @@
 func (p *Prober) SetInstances(instances []namer.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.instances) == 0 {
+		p.wake()
+	}
 	p.instances = slices.Clone(instances)
 	slices.SortFunc(p.instances, func(a, b namer.Instance) int { return strings.Compare(a.ID, b.ID) })
 	known := map[string]bool{}
@@ -99,6 +116,26 @@
 			delete(p.dead, id)
 		}
 	}
+	for id := range p.answeredBy {
+		if !known[id] {
+			delete(p.answeredBy, id)
+		}
+	}
+}
+
+// wake begins a round of questions at once.
+func (p *Prober) wake() {
+	select {
+	case p.firstSet <- struct{}{}:
+	default:
+	}
+}
+
+// HasAnswered reports whether an instance has answered at least once.
+func (p *Prober) HasAnswered(i namer.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answeredBy[i.ID]
 }
 
 // IsDead reports whether an incarnation of an instance counts as dead.
@@ -118,6 +155,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-p.firstSet:
 		}
 		for _, i := range p.next() {
 			go p.ask(ctx, i)
@@ -158,7 +196,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err == nil && state.Incarnation == i.Incarnation && !state.IsStopping {
+	if err == nil && state.isServing(i) {
 		p.answered(i)
 		return
 	}
@@ -170,8 +208,10 @@
 	delete(p.misses, i.ID)
 	_, wasDead := p.dead[i.ID]
 	delete(p.dead, i.ID)
+	isFirst := !p.answeredBy[i.ID]
+	p.answeredBy[i.ID] = true
 	p.mu.Unlock()
-	if wasDead {
+	if wasDead || isFirst {
 		p.config.OnChange()
 	}
 }
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -63,6 +63,7 @@
 	EventConfigurationStale    Event = 1912
 	EventServerJoined          Event = 1913
 	EventServerGone            Event = 1914
+	EventBootstrapped          Event = 1915
 )
 
 // Description says what an event means. It is the text of docs/EVENTS.md.
@@ -121,6 +122,7 @@
 		{EventConfigurationStale, slog.LevelWarn, "A configuration older than the one in force was read and is ignored."},
 		{EventServerJoined, slog.LevelInfo, "A backend server is in use; coldFor says how long it warms up."},
 		{EventServerGone, slog.LevelInfo, "A backend server's entry is gone; it gets no work."},
+		{EventBootstrapped, slog.LevelWarn, "The store does not answer; the instance starts with what another instance knows."},
 	}
 }
 
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -88,13 +88,17 @@
 }
 
 // IsCold reports whether the server is warming up.
-func (b *Backend) IsCold(now time.Time) bool {
-	if now.Before(b.server.Load().ColdUntil) {
-		return true
-	}
+func (b *Backend) IsCold(now time.Time) bool { return now.Before(b.warmAt()) }
+
+// warmAt returns when the server has warmed up.
+func (b *Backend) warmAt() time.Time {
+	told := b.server.Load().ColdUntil
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.coldUntil)
+	if b.coldUntil.After(told) {
+		return b.coldUntil
+	}
+	return told
 }
 
 // MarkCold says that the server is cold until a moment.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -109,6 +109,24 @@
 	return all
 }
 
+// Known returns every server, also those that leave, and the failure domains that
+// are to get nothing.
+func (r *Registrar) Known() ([]Server, []Evacuation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	servers := make([]Server, 0, len(r.backends))
+	for _, b := range r.backends {
+		server := b.Server()
+		server.ColdUntil = b.warmAt()
+		servers = append(servers, server)
+	}
+	evacuations := make([]Evacuation, 0, len(r.evacuated))
+	for domain := range r.evacuated {
+		evacuations = append(evacuations, Evacuation{FailureDomain: domain})
+	}
+	return servers, evacuations
+}
+
 // StoreLost says that the store does not answer this instance.
 func (r *Registrar) StoreLost() {
 	r.mu.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,6 +36,10 @@
 	bufferedBodyBytes = 256 << 10
 	// defaultPatience is how long a caller waits that does not say.
 	defaultPatience = 30 * time.Second
+	// startPatience is how long a request waits for the configuration of an
+	// instance that has just started. Most get it sooner than a caller that is
+	// sent away could be back.
+	startPatience = 400 * time.Millisecond
 	// startPause is when a caller may come back to an instance that has no
 	// configuration yet.
 	startPause = 300 * time.Millisecond
@@ -71,7 +75,9 @@
 // Config is the configuration of a Relayer.
 type Config struct {
 	// Table returns the routes in force, or nil before there are any.
-	Table     func() *router.Table
+	Table func() *router.Table
+	// Ready, if set, is closed once requests can be served.
+	Ready     <-chan struct{}
 	Forwarder Forwarder
 	Dialect   Dialect
 	Log       *slog.Logger
@@ -120,6 +126,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	headers := r.config.Dialect.ReadCaller(incoming.Header)
+	r.awaitReady(incoming.Context(), headers)
 	call, err := r.admit(incoming, headers, started)
 	if err != nil {
 		r.refuse(w, call, headers, err, started)
@@ -137,6 +144,30 @@
 	r.finish(call, answer, started)
 }
 
+// awaitReady waits for an instance that has just started, for half of the
+// caller's patience at most.
+func (r *Relayer) awaitReady(ctx context.Context, headers CallerHeaders) {
+	if r.config.Ready == nil {
+		return
+	}
+	select {
+	case <-r.config.Ready:
+		return
+	default:
+	}
+	patience := startPatience
+	if headers.Patience > 0 {
+		patience = min(patience, headers.Patience/2)
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-r.config.Ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit applies the rules of the request's route.
 func (r *Relayer) admit(incoming *http.Request, headers CallerHeaders, now time.Time) (*forwarder.Call, error) {
 	table := r.config.Table()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -266,3 +267,26 @@
 	_, err = busy.Write([]byte("x"))
 	require.NoError(t, err)
 }
+
+// A request that comes just before the configuration is served, not sent away.
+func TestARequestWaitsForAnInstanceThatHasJustStarted(t *testing.T) {
+	ready := make(chan struct{})
+	var table atomic.Pointer[router.Table]
+	r := relayer.New(relayer.Config{
+		Table: table.Load, Ready: ready, Dialect: dialect{}, Log: slog.New(slog.DiscardHandler),
+		Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) { return answer("served"), nil }),
+	})
+	server := httptest.NewServer(r)
+	defer server.Close()
+
+	response, _ := do(t, request(t, server, "/x/1", nil))
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "nothing came in time")
+
+	go func() {
+		table.Store(newTable())
+		close(ready)
+	}()
+	response, body := do(t, request(t, server, "/x/1", nil))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "served", body)
+}
