--- a/cmd/pollencrank/main.go
+++ b/cmd/pollencrank/main.go
@@ -5,9 +5,12 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/pollencrank/pollencrank/soaker"
 )
 
 // commandLine is the tool's commands.
@@ -27,6 +30,7 @@
 	Explain  explainCommand  `cmd:"" help:"Say why a caller is steered where it is, or why requests were refused."`
 	Request  requestCommand  `cmd:"" help:"Tell the story of one request from the logs of instances."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in for the store or a backend server, to try entries as separate processes."`
+	Soak     soakCommand     `cmd:"" help:"Run hosted entries as processes under faults from outside and check the promises."`
 	Measure  measureCommand  `cmd:"" help:"Rerun the measurements of docs/CAPACITY.md."`
 }
 
@@ -38,6 +42,7 @@
 		kong.Name("pollencrank"),
 		kong.Description("Operate a pollencrank fleet, or try one out."),
 		kong.UsageOnError(),
+		kong.Vars{"soakTroubles": strings.Join(soaker.KindNames(), ", ")},
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
 	parsed.FatalIfErrorf(parsed.Run())
