feat: changed settings come into force; a step of the clock refills no budget; tests of the soak

Cause: bounds of the settings held until the next start, a file that changed without a signal was not noticed; the retry budget and the pause between renewals of watches were counted by the time of day, which may step (a step back emptied the budget's counters and held renewals back). Change: the file is read every 3 s and at SIGHUP, its bounds are put in force; both counts use the steady clock.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -42,7 +43,9 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, settings, log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go follow(ctx, hangups, settings, h.SetBounds, log)
 	return h.Run(ctx)
 }
 
@@ -76,6 +79,13 @@
 		Evacuations:    platform.Evacuations(store, log),
 		Instances:      platform.Instances(store, log),
 		Seeds:          settings.Seeds,
+		Bounds:         boundsOf(settings),
+		Log:            log,
+	}), nil
+}
+
+func boundsOf(settings platform.Settings) hoster.Bounds {
+	return hoster.Bounds{
 		Retries: limiter.WindowConfig{
 			Share:  settings.Bounds.RetryShare,
 			Extra:  settings.Bounds.RetryExtra,
@@ -83,8 +93,7 @@
 		},
 		StopGrace:      settings.Bounds.StopGrace,
 		LookupLifetime: settings.Bounds.LookupLifetime,
-		Log:            log,
-	}), nil
+	}
 }
 
 // listenHosted opens the sockets that the platform's settings name.
@@ -109,24 +118,49 @@
 	return listeners, nil
 }
 
-// reload checks changed settings when told so. Addresses and names hold until
-// the next start.
-func reload(ctx context.Context, current platform.Settings, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// settingsPoll is how often the settings file is read: it may change without a
+// signal.
+const settingsPoll = 3 * time.Second
+
+// follow puts the figures of changed settings in force, at a signal or when the
+// file is seen to have changed. Addresses and names hold until the next start.
+func follow(ctx context.Context, hangups <-chan os.Signal, current platform.Settings, apply func(hoster.Bounds), log *slog.Logger) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	lastFault := ""
 	for {
+		isSignal := false
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
 		case <-hangups:
+			isSignal = true
 		}
 		next, err := platform.LoadSettings()
 		if err != nil {
-			log.Error("changed settings are faulty", recorder.EventSettingsInvalid.Attr(), slog.Any("error", err))
+			if isSignal || err.Error() != lastFault {
+				log.Error("changed settings are faulty", recorder.EventSettingsInvalid.Attr(), slog.Any("error", err))
+			}
+			lastFault = err.Error()
 			continue
 		}
-		log.Info("changed settings were read", recorder.EventSettingsReloaded.Attr(),
-			slog.Bool("boundsChanged", next.Bounds != current.Bounds))
+		lastFault = ""
+		hasChanged := !reflect.DeepEqual(next, current)
+		if !hasChanged && !isSignal {
+			continue
+		}
+		apply(boundsOf(next))
+		log.Info("settings were read again", recorder.EventSettingsReloaded.Attr(), slog.Bool("signal", isSignal),
+			slog.Bool("boundsChanged", next.Bounds != current.Bounds),
+			slog.Bool("restartNeeded", needsRestart(current, next)))
 		current = next
 	}
 }
+
+// needsRestart reports whether settings differ in more than what can change while
+// the instance runs.
+func needsRestart(current, next platform.Settings) bool {
+	next.Bounds, next.Seeds = current.Bounds, current.Seeds
+	return !reflect.DeepEqual(next, current)
+}
--- a/forwarder/budgets.go
+++ b/forwarder/budgets.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// SetConfig changes what the fleet may use.
+func (b *Budgets) SetConfig(config limiter.WindowConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config = config
+	for _, budget := range b.services {
+		budget.SetConfig(config)
+	}
+}
+
 // Of returns the retry budget of a service.
 func (b *Budgets) Of(service string) *limiter.WindowBudget {
 	b.mu.Lock()
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -87,9 +87,9 @@
 // renewWatches begins every watch anew, after an outage or a loss of history in
 // which the store may have forgotten them.
 func (h *Hoster) renewWatches() {
-	now := time.Now().UnixNano()
+	now := time.Now()
 	last := h.renewedAt.Load()
-	if now-last < int64(renewalPause) || !h.renewedAt.CompareAndSwap(last, now) {
+	if (last != nil && now.Sub(*last) < renewalPause) || !h.renewedAt.CompareAndSwap(last, &now) {
 		return
 	}
 	h.follows.configurations.Interrupt()
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -83,12 +83,18 @@
 	// not answer at the start. Some may be stale.
 	Seeds []string
 
+	Bounds Bounds
+	Log    *slog.Logger
+}
+
+// Bounds are figures that may change while the instance runs.
+type Bounds struct {
+	// Retries is the budget of the whole fleet.
 	Retries limiter.WindowConfig
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
 	// LookupLifetime is the longest that callers may keep a look-up's answer.
 	LookupLifetime time.Duration
-	Log            *slog.Logger
 }
 
 // Hoster is one hosted instance.
@@ -120,8 +126,10 @@
 	hasServers  atomic.Bool
 	isStopping  atomic.Bool
 	storeIsLost atomic.Bool
-	// renewedAt is when the watches were last begun anew, in Unix nanoseconds.
-	renewedAt atomic.Int64
+	// renewedAt is when the watches were last begun anew.
+	renewedAt atomic.Pointer[time.Time]
+	// bounds are the figures in force.
+	bounds atomic.Pointer[Bounds]
 	// registerNow wakes the loop that writes the instance's own entry.
 	registerNow chan struct{}
 }
@@ -147,7 +155,7 @@
 		config:      config,
 		splitter:    router.NewSplitter(),
 		warmer:      warmer.New(config.Self.ID),
-		budgets:     forwarder.NewBudgets(config.Retries, len(config.RegionOf)),
+		budgets:     forwarder.NewBudgets(config.Bounds.Retries, len(config.RegionOf)),
 		distances:   forwarder.NewDistances(config.Self.Region),
 		idles:       relayer.NewIdleCloser(),
 		registerNow: make(chan struct{}, 1),
@@ -156,6 +164,7 @@
 		isConfigured: make(chan struct{}),
 		startedAt:    time.Now(),
 	}
+	h.bounds.Store(&config.Bounds)
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
 	h.isolator = isolator.New(isolator.Config{})
@@ -178,6 +187,12 @@
 	return h
 }
 
+// SetBounds puts other figures in force.
+func (h *Hoster) SetBounds(bounds Bounds) {
+	h.bounds.Store(&bounds)
+	h.budgets.SetConfig(bounds.Retries)
+}
+
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
 	h.sender = dispatcher.New(dispatcher.Config{
 		DialContext: h.dial,
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -223,8 +223,10 @@
 			LookupPath: platform.LookupPath, ReadyPath: platform.ReadyPath, Read: platform.ReadLookup, Write: platform.WriteLookup,
 		},
 		Registry: s, Servers: s.servers, Configurations: s.configurations, Evacuations: s.evacuations, Instances: s.instances, Seeds: s.seeds,
-		Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
-		StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
+		Bounds: hoster.Bounds{
+			Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
+			StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
+		},
 		Log: slog.New(slog.NewJSONHandler(e.log, nil)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -126,7 +126,7 @@
 		if len(named) == 0 {
 			named = []namer.Instance{h.config.Self}
 		}
-		return h.config.Lookups.Write(w, named, min(lookupLifetime, h.config.LookupLifetime))
+		return h.config.Lookups.Write(w, named, min(lookupLifetime, h.bounds.Load().LookupLifetime))
 	})
 	return routes
 }
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -25,8 +25,8 @@
 // then refused, and what was begun is finished.
 func (h *Hoster) stop(callers server) {
 	started := time.Now()
-	refuseAt := started.Add(time.Duration(float64(h.config.StopGrace) * servePart))
-	killAt := started.Add(time.Duration(float64(h.config.StopGrace) * finishPart))
+	refuseAt := started.Add(time.Duration(float64(h.bounds.Load().StopGrace) * servePart))
+	killAt := started.Add(time.Duration(float64(h.bounds.Load().StopGrace) * finishPart))
 	h.isStopping.Store(true)
 	h.relayer.Stop()
 	h.roster.publish()
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -34,6 +34,9 @@
 	requests [windowSlots]int
 	retries  [windowSlots]int
 	part     int64
+	// began is when parts are counted from. It is compared with the steady
+	// clock: a step of the time of day must not refill the budget.
+	began time.Time
 }
 
 // NewWindowBudget returns a budget for one of several instances.
@@ -48,6 +51,13 @@
 	b.instances = max(instances, 1)
 }
 
+// SetConfig changes the fleet's budget. What was counted stays.
+func (b *WindowBudget) SetConfig(config WindowConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config = config
+}
+
 // Deposit counts a request.
 func (b *WindowBudget) Deposit(now time.Time) {
 	b.mu.Lock()
@@ -73,7 +83,10 @@
 // advance empties the parts that have passed. The lock is held.
 func (b *WindowBudget) advance(now time.Time) {
 	span := max(b.config.Window/windowSlots, 1)
-	part := now.UnixNano() / int64(span)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	part := int64(now.Sub(b.began) / span)
 	if part-b.part >= windowSlots || part < b.part {
 		b.requests = [windowSlots]int{}
 		b.retries = [windowSlots]int{}
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -67,3 +67,15 @@
 	}
 	require.Equal(t, 8, granted)
 }
+
+func TestAChangedBudgetKeepsWhatWasCounted(t *testing.T) {
+	b := limiter.NewWindowBudget(limiter.WindowConfig{Extra: 10, Window: 10 * time.Second}, 1)
+	for b.Withdraw(windowStart) {
+	}
+	b.SetConfig(limiter.WindowConfig{Extra: 20, Window: 10 * time.Second})
+	granted := 0
+	for b.Withdraw(windowStart) {
+		granted++
+	}
+	require.Equal(t, 8, granted, "0.8 of 20, less the 8 that were granted before")
+}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -71,7 +71,9 @@
 	// The caller hears the whole answer also when the run ends meanwhile.
 	reply := imitator.Send(context.WithoutCancel(ctx), c.client, s.Attempt)
 	c.soak.ledger.end(s, reply)
-	c.soak.countCalm(reply)
+	if c.soak.ledger.isOwed(s.Attempt) {
+		c.soak.countCalm(reply)
+	}
 	if p.isStoppingCalmly(s) {
 		c.soak.ledger.cutByStop(s, reply)
 	}
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -191,6 +191,12 @@
 	return version
 }
 
+// isOwed reports whether the newest configuration has a route for an attempt.
+func (l *ledger) isOwed(a imitator.Attempt) bool {
+	version := versionOf(a.Path)
+	return version == 0 || version+1 >= l.newestVersion()
+}
+
 // checkVersion checks that a request of a version's own route was served by that
 // version or the next one. The lock is held.
 func (l *ledger) checkVersion(s *sent, version uint64, now time.Time) {
--- /dev/null
+++ b/soaker/proxy_test.go
@@ -0,0 +1,85 @@
+package soaker
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echoServer answers every byte with itself.
+func echoServer(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dialProxy(t *testing.T) (*proxy, net.Conn) {
+	p, err := startProxy("127.0.0.1", echoServer(t))
+	require.NoError(t, err)
+	t.Cleanup(p.close)
+	conn, err := net.Dial("tcp", p.address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return p, conn
+}
+
+func TestAHeldLinkLosesNothing(t *testing.T) {
+	for _, state := range []linkState{{DropsForward: true}, {DropsBackward: true}, {DropsForward: true, DropsBackward: true}} {
+		p, conn := dialProxy(t)
+		p.set(state)
+		_, err := io.WriteString(conn, "hello")
+		require.NoError(t, err)
+		answered := make(chan string, 1)
+		go func() {
+			got := make([]byte, 5)
+			_, _ = io.ReadFull(conn, got)
+			answered <- string(got)
+		}()
+		require.Empty(t, answered)
+		p.set(linkState{})
+		require.Equal(t, "hello", <-answered)
+	}
+}
+
+func TestAResetEndsOpenConnectionsOnly(t *testing.T) {
+	p, conn := dialProxy(t)
+	_, err := io.WriteString(conn, "a")
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	require.NoError(t, err)
+	p.reset()
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	again, err := net.Dial("tcp", p.address())
+	require.NoError(t, err)
+	defer again.Close()
+	_, err = io.WriteString(again, "b")
+	require.NoError(t, err)
+	_, err = io.ReadFull(again, make([]byte, 1))
+	require.NoError(t, err)
+}
+
+func TestTheEndOfAConnectionIsPassedOn(t *testing.T) {
+	_, conn := dialProxy(t)
+	_, err := io.WriteString(conn, "last")
+	require.NoError(t, err)
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "last", string(got))
+}
