feat: the soak knows when news must have taken effect; runs draw their kinds of trouble; servers are found by ID and address

Cause: mutated programs (orders repeated after a lost answer, drains ignored, evacuations ignored) passed the soak: a time bound held only while nothing at all was disturbed, and some store-wide trouble nearly always was. hoster.report and hoster.dial walked over all servers on each answer and connection. Change: a bound holds from the first undisturbed span of its length after the news on; each run draws its kinds (six of ten, store-wide ones in every second run); servers lose answers, connections are reset again and again. The registrar's view has indexes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -120,12 +120,12 @@
 	d.transports.Store(&next)
 }
 
-// KeepAddresses forgets the servers at other addresses, with whatever number of
-// connections they were asked.
-func (d *Dispatcher) KeepAddresses(addresses map[string]bool) {
+// KeepAddresses forgets the servers at addresses that are not to be kept, with
+// whatever number of connections they were asked.
+func (d *Dispatcher) KeepAddresses(isKept func(address string) bool) {
 	var targets []Target
 	for target := range *d.transports.Load() {
-		if addresses[target.Address] {
+		if isKept(target.Address) {
 			targets = append(targets, target)
 		}
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -376,7 +376,7 @@
 // late.
 func TestALongQueueIsRefusedAtOnceByRank(t *testing.T) {
 	s := newSystem(t)
-	for _, b := range s.registrar.All() {
+	for _, b := range s.registrar.Backends("parts") {
 		b.Report(2, 8, time.Now())
 	}
 	_, err := s.ask(t.Context(), "17")
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -75,11 +75,9 @@
 		return nil, err
 	}
 	took := time.Since(started)
-	for _, b := range h.registrar.All() {
-		if s := b.Server(); s.Address == address {
-			h.distances.Observe(forwarder.Place{Region: s.Region, FailureDomain: s.FailureDomain}, took)
-			break
-		}
+	if b := h.registrar.At(address); b != nil {
+		s := b.Server()
+		h.distances.Observe(forwarder.Place{Region: s.Region, FailureDomain: s.FailureDomain}, took)
 	}
 	return conn, nil
 }
@@ -87,18 +85,16 @@
 // report takes what a server says of itself.
 func (h *Hoster) report(target dispatcher.Target, report dispatcher.Report) {
 	now := time.Now()
-	for _, b := range h.registrar.All() {
-		if b.Server().ID != target.Name {
-			continue
-		}
-		if report.HasLoad {
-			b.Report(report.Running, report.Waiting, now)
-		}
-		if report.ColdFor > 0 {
-			b.MarkCold(now.Add(report.ColdFor))
-		}
+	b := h.registrar.Find(target.Name)
+	if b == nil {
 		return
 	}
+	if report.HasLoad {
+		b.Report(report.Running, report.Waiting, now)
+	}
+	if report.ColdFor > 0 {
+		b.MarkCold(now.Add(report.ColdFor))
+	}
 }
 
 func (h *Hoster) readyHandler() http.Handler {
@@ -237,11 +233,7 @@
 
 // forgetServers closes the idle connections to servers that are gone.
 func (h *Hoster) forgetServers() {
-	addresses := map[string]bool{}
-	for _, b := range h.registrar.All() {
-		addresses[b.Server().Address] = true
-	}
-	h.sender.KeepAddresses(addresses)
+	h.sender.KeepAddresses(func(address string) bool { return h.registrar.At(address) != nil })
 }
 
 // register writes the instance's own entry whenever the store lacks it.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -65,7 +65,7 @@
 // Registrar keeps the backend servers. It is safe for concurrent use.
 type Registrar struct {
 	config Config
-	view   atomic.Pointer[map[string][]*Backend]
+	view   atomic.Pointer[view]
 
 	mu        sync.Mutex
 	backends  map[string]*Backend
@@ -79,6 +79,13 @@
 	believeAfter time.Time
 }
 
+// view is the servers that the store knows as serving. It is never changed.
+type view struct {
+	byService map[string][]*Backend
+	byID      map[string]*Backend
+	byAddress map[string]*Backend
+}
+
 // New returns a Registrar that knows no server.
 func New(config Config) *Registrar {
 	if config.Now == nil {
@@ -90,24 +97,21 @@
 		evacuated: map[string]bool{},
 		missing:   map[string]time.Time{},
 	}
-	r.view.Store(&map[string][]*Backend{})
+	r.view.Store(&view{})
 	return r
 }
 
 // Backends returns the servers of a service that the store knows as serving, in
 // order of their IDs. The result must not be changed.
 func (r *Registrar) Backends(service string) []*Backend {
-	return (*r.view.Load())[service]
+	return r.view.Load().byService[service]
 }
 
-// All returns every server that the store knows as serving.
-func (r *Registrar) All() []*Backend {
-	var all []*Backend
-	for _, backends := range *r.view.Load() {
-		all = append(all, backends...)
-	}
-	return all
-}
+// Find returns the server with an ID that the store knows as serving, or nil.
+func (r *Registrar) Find(id string) *Backend { return r.view.Load().byID[id] }
+
+// At returns the server at an address that the store knows as serving, or nil.
+func (r *Registrar) At(address string) *Backend { return r.view.Load().byAddress[address] }
 
 // Known returns every server, also those that leave, and the failure domains that
 // are to get nothing.
@@ -243,18 +247,21 @@
 
 // rebuild publishes a new view. The lock is held.
 func (r *Registrar) rebuild() {
-	view := map[string][]*Backend{}
-	for _, b := range r.backends {
+	next := &view{byService: map[string][]*Backend{}, byID: map[string]*Backend{}, byAddress: map[string]*Backend{}}
+	for id, b := range r.backends {
 		s := b.Server()
 		b.isEvacuated.Store(r.evacuated[s.FailureDomain])
-		if !s.IsLeaving {
-			view[s.Service] = append(view[s.Service], b)
+		if s.IsLeaving {
+			continue
 		}
+		next.byService[s.Service] = append(next.byService[s.Service], b)
+		next.byID[id] = b
+		next.byAddress[s.Address] = b
 	}
-	for _, backends := range view {
+	for _, backends := range next.byService {
 		slices.SortFunc(backends, func(a, b *Backend) int { return cmp.Compare(a.Server().ID, b.Server().ID) })
 	}
-	r.view.Store(&view)
+	r.view.Store(next)
 }
 
 type evacuationHandler struct{ *Registrar }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -63,7 +63,10 @@
 	require.Equal(t, []string{"b"}, ids(r))
 	r.Servers().Reset(put(server("c")))
 	require.Equal(t, []string{"c"}, ids(r))
-	require.Len(t, r.All(), 1)
+	require.Nil(t, r.Find("b"))
+	found := r.Find("c")
+	require.NotNil(t, found)
+	require.Same(t, found, r.At(found.Server().Address))
 }
 
 func TestALeavingServerGetsNothing(t *testing.T) {
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -60,15 +60,22 @@
 	violations []Violation
 	counts     Counts
 	attempts   map[string]*sent
-	// forbidden says from when a server must get nothing, by its ID.
-	forbidden map[string]time.Time
+	// forbidden says what a server must not get, by its ID.
+	forbidden map[string]notice
 	versions  []configured
 	// newest is the newest version that a start of an instance has shown.
 	newest map[string]uint64
-	// harmedUntil is until when time bounds hold for no instance, and linksHarmed
-	// until when they do not for what goes to a server.
-	harmedUntil time.Time
+	// linksHarmed is until when requests may be held up on their way to a
+	// server.
 	linksHarmed map[string]time.Time
+	// harms are the spans in which time bounds hold for no instance.
+	harms harms
+}
+
+// notice is news that must have taken effect after a bound.
+type notice struct {
+	at    time.Time
+	bound time.Duration
 }
 
 // configured is a configuration that the store has accepted.
@@ -78,7 +85,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{began: time.Now(), attempts: map[string]*sent{}, forbidden: map[string]time.Time{}, newest: map[string]uint64{},
+	return &ledger{began: time.Now(), attempts: map[string]*sent{}, forbidden: map[string]notice{}, newest: map[string]uint64{},
 		linksHarmed: map[string]time.Time{}}
 }
 
@@ -94,15 +101,6 @@
 	l.breaks(promise, format, args...)
 }
 
-// harm says that time bounds hold for no instance until a moment.
-func (l *ledger) harm(until time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if until.After(l.harmedUntil) {
-		l.harmedUntil = until
-	}
-}
-
 // harmLink says that requests may be held up on their way to a server.
 func (l *ledger) harmLink(server string, until time.Time) {
 	l.mu.Lock()
@@ -112,12 +110,12 @@
 	}
 }
 
-// forbid says that a server must get nothing from a moment on.
-func (l *ledger) forbid(server string, from time.Time) {
+// forbid says that a server is to get nothing once a bound from now has passed.
+func (l *ledger) forbid(server string, bound time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known, ok := l.forbidden[server]; !ok || from.Before(known) {
-		l.forbidden[server] = from
+	if _, ok := l.forbidden[server]; !ok {
+		l.forbidden[server] = notice{at: time.Now(), bound: bound}
 	}
 }
 
@@ -137,8 +135,7 @@
 
 // begin notes an attempt before it is sent.
 func (l *ledger) begin(a imitator.Attempt, by *process) *sent {
-	_, start := by.calmSince()
-	s := &sent{Attempt: a, by: by, start: start, at: time.Now()}
+	s := &sent{Attempt: a, by: by, start: by.startNumber(), at: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts.Attempts++
@@ -166,20 +163,20 @@
 	}
 	s.runs = append(s.runs, run.Server)
 	isHeldUp := run.At.Before(l.linksHarmed[run.Server])
-	if from, ok := l.forbidden[run.Server]; ok && !isHeldUp && l.isBound(s, from, run.At) {
-		l.breaks("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s too late", s.ID, run.Server, s.by.id, run.At.Sub(from))
+	if n, ok := l.forbidden[run.Server]; ok && !isHeldUp && l.isBound(s, n) {
+		l.breaks("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s after the news", s.ID, run.Server, s.by.id, run.At.Sub(n.at))
 	}
-	l.checkVersion(s, versionOf(s.Path), run.At)
+	l.checkVersion(s, versionOf(s.Path))
 }
 
-// isBound reports whether a time bound that ended at a moment holds for the
-// instance that took an attempt: it was calm from well before it until now.
-func (l *ledger) isBound(s *sent, end, now time.Time) bool {
-	calm, start := s.by.calmSince()
-	if l.harmedUntil.After(calm) {
-		calm = l.harmedUntil
+// isBound reports whether an attempt was sent after news must have taken effect at
+// its instance, in the same start and with nothing that holds the attempt up. The
+// lock is held.
+func (l *ledger) isBound(s *sent, n notice) bool {
+	if s.by.startNumber() != s.start || s.by.harms.covers(s.at) || s.by.harms.covers(time.Now()) {
+		return false
 	}
-	return start == s.start && s.at.After(end) && now.After(end) && calm.Add(evacuationBound).Before(s.at)
+	return s.at.After(boundEnd(n.at, n.bound, &l.harms, &s.by.harms))
 }
 
 // versionOf returns the version that a path belongs to, or zero.
@@ -199,7 +196,7 @@
 
 // checkVersion checks that a request of a version's own route was served by that
 // version or the next one. The lock is held.
-func (l *ledger) checkVersion(s *sent, version uint64, now time.Time) {
+func (l *ledger) checkVersion(s *sent, version uint64) {
 	if version == 0 {
 		return
 	}
@@ -207,7 +204,7 @@
 	l.newest[key] = max(l.newest[key], version)
 	for _, c := range l.versions {
 		// Each version drops the route of the one before the last.
-		if c.version == version+2 && l.isBound(s, c.at.Add(configBound), now) {
+		if c.version == version+2 && l.isBound(s, notice{at: c.at, bound: configBound}) {
 			l.breaks("a configuration is in force in time", "%s ran under a route that version %d dropped", s.ID, c.version)
 		}
 	}
@@ -255,7 +252,6 @@
 		l.breaks("a route that always was there is served", "%s got 404 from %s", s.ID, s.by.id)
 		return
 	}
-	now := time.Now()
 	newest := l.versions[len(l.versions)-1].version
 	key := fmt.Sprintf("%s#%d", s.by.id, s.start)
 	// A version's own route is dropped by the one after the next.
@@ -263,7 +259,7 @@
 		l.breaks("a configuration never reverts", "%s got 404 from %s, which has served version %d", s.ID, s.by.id, l.newest[key])
 	}
 	for _, c := range l.versions {
-		if c.version == version && newest < version+2 && l.isBound(s, c.at.Add(configBound), now) {
+		if c.version == version && newest < version+2 && l.isBound(s, notice{at: c.at, bound: configBound}) {
 			l.breaks("a configuration is in force in time", "%s got 404 from %s", s.ID, s.by.id)
 		}
 	}
--- a/soaker/ledger_test.go
+++ b/soaker/ledger_test.go
@@ -83,20 +83,33 @@
 			s.ran(imitator.Run{Server: "s1", RequestID: "a", Path: a.Path + "0", At: time.Now()})
 		}, 1},
 		"work for a server that has left": {func(s *scene) {
-			s.forbid("s1", time.Now())
-			time.Sleep(time.Second)
+			s.forbid("s1", drainBound)
+			time.Sleep(drainBound + time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 1},
 		"the same by an instance that was frozen": {func(s *scene) {
-			s.forbid("s1", time.Now())
-			s.p.harm(time.Now().Add(contactTime))
-			time.Sleep(time.Second)
+			s.forbid("s1", drainBound)
+			s.p.harms.add(time.Now().Add(contactTime))
+			time.Sleep(drainBound + time.Second)
+			s.run(s.send("a", "/lookup/1", false), "s1")
+		}, 0},
+		"the same while the store is down": {func(s *scene) {
+			s.harms.add(time.Now().Add(time.Minute))
+			s.forbid("s1", drainBound)
+			time.Sleep(drainBound + time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 0},
+		"the same when the store has been down after the news took effect": {func(s *scene) {
+			s.forbid("s1", drainBound)
+			time.Sleep(drainBound + time.Second)
+			s.harms.add(time.Now().Add(time.Minute))
+			time.Sleep(time.Second)
+			s.run(s.send("a", "/lookup/1", false), "s1")
+		}, 1},
 		"the same on a link that was held": {func(s *scene) {
-			s.forbid("s1", time.Now())
+			s.forbid("s1", drainBound)
+			time.Sleep(drainBound + time.Second)
 			s.harmLink("s1", time.Now().Add(contactTime))
-			time.Sleep(time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 0},
 		"a new route that is missing": {func(s *scene) {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -20,6 +20,8 @@
 	logPath     string
 	// store is the instance's link to the store.
 	store *proxy
+	// harms are the spans in which time bounds do not hold for the instance.
+	harms harms
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -27,8 +29,6 @@
 	exited chan struct{}
 	// starts counts the starts.
 	starts int
-	// harmedUntil is until when time bounds do not hold for the instance.
-	harmedUntil time.Time
 	// isTaken says that a trouble is about to signal the process.
 	isTaken bool
 	// stopAt is when a planned stop began, while it goes on or was the last
@@ -82,7 +82,7 @@
 func (p *process) isStoppingCalmly(s *sent) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.stopAt.IsZero() && p.starts == s.start && p.harmedUntil.Before(s.at) && time.Now().Before(p.stopAt.Add(stopGrace))
+	return !p.stopAt.IsZero() && p.starts == s.start && !p.harms.covers(s.at) && time.Now().Before(p.stopAt.Add(stopGrace))
 }
 
 // isRunning reports whether the process runs.
@@ -118,20 +118,11 @@
 	return p.command.ProcessState.ExitCode()
 }
 
-// harm says that time bounds do not hold until a moment.
-func (p *process) harm(until time.Time) {
+// startNumber returns the number of the start.
+func (p *process) startNumber() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if until.After(p.harmedUntil) {
-		p.harmedUntil = until
-	}
-}
-
-// calmSince returns since when time bounds hold, and the number of the start.
-func (p *process) calmSince() (time.Time, int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.harmedUntil, p.starts
+	return p.starts
 }
 
 func logPath(folder, id string) string { return filepath.Join(folder, id+".log") }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -131,10 +131,11 @@
 	return s.play(ctx)
 }
 
-// ip returns an address of 127.0.0.0/8 that is this run's own.
+// ip returns an address of 127.0.0.0/8 that is this process's own: other runs may
+// go on beside it.
 func (s *soak) ip(kind, number int) string {
-	const perRun = 200
-	return fmt.Sprintf("127.%d.%d.%d", 1+int(s.config.Seed)%perRun, kind, 1+number)
+	const networks = 250
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%networks, kind, 1+number)
 }
 
 // Kinds of addresses.
@@ -191,7 +192,7 @@
 		return err
 	}
 	s.instances = append(s.instances, p)
-	p.harm(time.Now().Add(contactTime))
+	p.harms.add(time.Now().Add(contactTime))
 	return p.start()
 }
 
@@ -305,7 +306,7 @@
 		sleep(ctx, stallTick)
 		now := time.Now()
 		if now.Sub(last) > stallLimit {
-			s.ledger.harm(now.Add(contactTime))
+			s.ledger.harms.add(now.Add(contactTime))
 			s.config.Log("the machine stood still for %s", now.Sub(last).Round(time.Millisecond))
 			s.mu.Lock()
 			s.stalls++
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -109,14 +110,41 @@
 		{"serverSilent", s.serverLink(linkState{DropsForward: true, DropsBackward: true})},
 		{"answersHeld", s.serverLink(linkState{DropsBackward: true})},
 		{"serverFar", s.serverLink(linkState{Delay: 50 * time.Millisecond})},
-		{"serverReset", s.resetServer}, {"serverCrash", s.crashServer}, {"serverSlow", s.slowServer}, {"serverLeaves", s.serverLeaves},
+		{"serverReset", s.resetServer}, {"answersLost", s.loseAnswers}, {"serverCrash", s.crashServer}, {"serverSlow", s.slowServer}, {"serverLeaves", s.serverLeaves},
 	}
 	if len(s.config.Only) == 0 {
-		return all
+		return s.swarm(all)
 	}
 	return slices.DeleteFunc(all, func(k kind) bool { return !slices.Contains(s.config.Only, k.name) })
 }
 
+// Shares of runs in which a kind of trouble occurs. Runs with few kinds show what
+// the many troubles of others hide: while the store is harmed, no time bound
+// holds.
+const (
+	kindShare      = 0.6
+	storeWideShare = 0.5
+)
+
+// swarm chooses the kinds of this run.
+func (s *soak) swarm(all []kind) []kind {
+	if s.random == nil {
+		return all
+	}
+	hasStoreWide := s.random.Float64() < storeWideShare
+	var chosen []kind
+	for _, k := range all {
+		isStoreWide := strings.HasPrefix(k.name, "store")
+		if s.random.Float64() < kindShare && (hasStoreWide || !isStoreWide) {
+			chosen = append(chosen, k)
+		}
+	}
+	if len(chosen) == 0 {
+		return all
+	}
+	return chosen
+}
+
 // KindNames returns the names of all troubles.
 func KindNames() []string {
 	var names []string
@@ -175,7 +203,7 @@
 
 func (s *soak) startAgain(ctx context.Context, p *process, after time.Duration) {
 	sleep(ctx, after)
-	p.harm(time.Now().Add(contactTime))
+	p.harms.add(time.Now().Add(contactTime))
 	if err := p.start(); err != nil {
 		s.ledger.note("an instance starts", "%s: %v", p.id, err)
 	}
@@ -187,7 +215,7 @@
 		return
 	}
 	defer s.giveBack(p)
-	p.harm(time.Now().Add(span + contactTime))
+	p.harms.add(time.Now().Add(span + contactTime))
 	p.signal(syscall.SIGKILL)
 	p.awaitExit(exitLimit)
 	s.startAgain(ctx, p, span)
@@ -200,11 +228,11 @@
 		return
 	}
 	defer s.giveBack(p)
-	p.harm(time.Now().Add(span + contactTime))
+	p.harms.add(time.Now().Add(span + contactTime))
 	p.signal(syscall.SIGSTOP)
 	sleep(ctx, span)
 	p.signal(syscall.SIGCONT)
-	p.harm(time.Now().Add(contactTime))
+	p.harms.add(time.Now().Add(contactTime))
 }
 
 func (s *soak) reload(_ context.Context, _ time.Duration, choice uint64) {
@@ -234,11 +262,10 @@
 		s.ledger.note("an evacuation is accepted", "%v", err)
 		return
 	}
-	from := time.Now().Add(evacuationBound)
 	var emptied []string
 	for _, b := range s.serversIn(domain) {
 		emptied = append(emptied, b.id)
-		s.ledger.forbid(b.id, from)
+		s.ledger.forbid(b.id, evacuationBound)
 	}
 	sleep(ctx, evacuationBound+span)
 	for _, id := range emptied {
@@ -249,33 +276,33 @@
 
 func (s *soak) storeTrouble(trouble imitator.Trouble) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, _ uint64) {
-		s.ledger.harm(time.Now().Add(span + contactTime))
+		s.ledger.harms.add(time.Now().Add(span + contactTime))
 		s.store.Misbehave(trouble)
 		sleep(ctx, span)
 		s.store.Misbehave(imitator.Trouble{})
-		s.ledger.harm(time.Now().Add(contactTime))
+		s.ledger.harms.add(time.Now().Add(contactTime))
 	}
 }
 
 func (s *soak) storeForgets(context.Context, time.Duration, uint64) {
-	s.ledger.harm(time.Now().Add(contactTime))
+	s.ledger.harms.add(time.Now().Add(contactTime))
 	s.store.ForgetHistory()
 }
 
 func (s *soak) storeLink(state linkState) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, choice uint64) {
 		p := s.instance(choice)
-		p.harm(time.Now().Add(span + contactTime))
+		p.harms.add(time.Now().Add(span + contactTime))
 		p.store.set(state)
 		sleep(ctx, span)
 		p.store.set(linkState{})
-		p.harm(time.Now().Add(contactTime))
+		p.harms.add(time.Now().Add(contactTime))
 	}
 }
 
 func (s *soak) resetStoreLink(_ context.Context, _ time.Duration, choice uint64) {
 	p := s.instance(choice)
-	p.harm(time.Now().Add(contactTime))
+	p.harms.add(time.Now().Add(contactTime))
 	p.store.reset()
 }
 
@@ -315,8 +342,23 @@
 	}
 }
 
-func (s *soak) resetServer(_ context.Context, _ time.Duration, choice uint64) {
-	s.server(choice).link.reset()
+// resetServer resets the connections to a server again and again.
+func (s *soak) resetServer(ctx context.Context, span time.Duration, choice uint64) {
+	const pause = 50 * time.Millisecond
+	b := s.server(choice)
+	for end := time.Now().Add(span); time.Now().Before(end) && ctx.Err() == nil; {
+		b.link.reset()
+		sleep(ctx, pause)
+	}
+}
+
+// loseAnswers lets a server work and not answer.
+func (s *soak) loseAnswers(ctx context.Context, span time.Duration, choice uint64) {
+	const share = 0.3
+	b := s.server(choice)
+	b.LoseAnswers(share)
+	sleep(ctx, span)
+	b.LoseAnswers(0)
 }
 
 func (s *soak) slowServer(ctx context.Context, span time.Duration, choice uint64) {
@@ -351,7 +393,7 @@
 	if err := s.store.PutServer(b.Server, b.link.address()); err != nil {
 		s.ledger.note("an entry is accepted", "%v", err)
 	}
-	s.ledger.forbid(b.id, time.Now().Add(drainBound))
+	s.ledger.forbid(b.id, drainBound)
 	sleep(ctx, drainBound+span)
 	s.store.RemoveServer(b.id)
 	b.close()
