--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -25,10 +26,14 @@
 // hostedCommand runs an instance that a platform hosts.
 type hostedCommand struct {
 	LogLevel slog.Level `help:"Least level that is logged." default:"info" env:"POLLENCRANK_LOG_LEVEL"`
+	LogEvery int        `help:"Number of answered requests for each one that is logged; refusals and failures always are." default:"100" env:"POLLENCRANK_LOG_EVERY"`
 }
 
 // Run runs the instance until it is told to stop.
 func (c *hostedCommand) Run() error {
+	if c.LogEvery < 1 {
+		return fmt.Errorf("--log-every: %d is less than 1", c.LogEvery)
+	}
 	debug.SetGCPercent(collectPercent)
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -39,7 +44,7 @@
 	lines := recorder.NewWriter(os.Stdout)
 	defer lines.Close()
 	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: c.LogLevel}))
-	h, err := newHoster(settings, log)
+	h, err := c.newHoster(settings, log)
 	if err != nil {
 		return err
 	}
@@ -49,7 +54,7 @@
 	return h.Run(ctx)
 }
 
-func newHoster(settings platform.Settings, log *slog.Logger) (*hoster.Hoster, error) {
+func (c *hostedCommand) newHoster(settings platform.Settings, log *slog.Logger) (*hoster.Hoster, error) {
 	listeners, err := listenHosted(settings)
 	if err != nil {
 		return nil, err
@@ -80,6 +85,7 @@
 		Instances:      platform.Instances(store, log),
 		Seeds:          settings.Seeds,
 		Bounds:         boundsOf(settings),
+		SampleEvery:    c.LogEvery,
 		Log:            log,
 	}), nil
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -264,7 +264,7 @@
 	if backend.Succeeded(float64(work)/float64(usual), now) {
 		backend.MarkCold(now.Add(call.service.Warmup))
 	}
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d",service=%q}`, call.Route.Priority, call.service.Name)).Update(took.Seconds())
 }
 
 func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, took time.Duration, now time.Time) {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -84,7 +84,10 @@
 	Seeds []string
 
 	Bounds Bounds
-	Log    *slog.Logger
+	// SampleEvery is how many answered requests there are for one that is
+	// logged. Zero takes the default.
+	SampleEvery int
+	Log         *slog.Logger
 }
 
 // Bounds are figures that may change while the instance runs.
@@ -181,7 +184,9 @@
 		Ready:     h.isConfigured,
 		Forwarder: h.newForwarder(),
 		Dialect:   config.Dialect,
-		Log:       config.Log,
+
+		SampleEvery: config.SampleEvery,
+		Log:         config.Log,
 	})
 	h.newFollows()
 	return h
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -43,9 +43,9 @@
 	// startPause is when a caller may come back to an instance that has no
 	// configuration yet.
 	startPause = 300 * time.Millisecond
-	// sampledShare is the share of answered requests that is logged, as one in
-	// so many.
-	sampledShare = 100
+	// defaultSampleEvery is how many answered requests there are for one that is
+	// logged.
+	defaultSampleEvery = 100
 )
 
 // CallerHeaders is what a caller says in the headers of a request.
@@ -80,7 +80,10 @@
 	Ready     <-chan struct{}
 	Forwarder Forwarder
 	Dialect   Dialect
-	Log       *slog.Logger
+	// SampleEvery is how many answered requests there are for one that is
+	// logged. Refusals and failures are always logged.
+	SampleEvery int
+	Log         *slog.Logger
 }
 
 // Relayer is an http.Handler for the requests of callers.
@@ -95,7 +98,12 @@
 }
 
 // New returns a Relayer.
-func New(config Config) *Relayer { return &Relayer{config: config} }
+func New(config Config) *Relayer {
+	if config.SampleEvery <= 0 {
+		config.SampleEvery = defaultSampleEvery
+	}
+	return &Relayer{config: config}
+}
 
 // Stop closes every connection after its next answer.
 func (r *Relayer) Stop() { r.isStopping.Store(true) }
@@ -316,7 +324,7 @@
 func (r *Relayer) finish(call *forwarder.Call, answer *pollencrank.Answer, started time.Time) {
 	took := time.Since(started)
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_answer_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
-	if answer.Status < 500 && r.answered.Add(1)%sampledShare != 0 {
+	if answer.Status < 500 && r.answered.Add(1)%uint64(r.config.SampleEvery) != 0 {
 		return
 	}
 	r.config.Log.Info("the request was answered", recorder.EventRequestFinished.Attr(),
