--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -57,13 +57,6 @@
 	}
 }
 
-// retarget sends new connections elsewhere.
-func (p *proxy) retarget(target string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target = target
-}
-
 // set changes the state of the link.
 func (p *proxy) set(state linkState) {
 	p.mu.Lock()
@@ -90,10 +83,7 @@
 }
 
 func (p *proxy) pass(conn net.Conn) {
-	p.mu.Lock()
-	target := p.target
-	p.mu.Unlock()
-	forward, err := net.Dial("tcp", target)
+	forward, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = conn.Close()
 		return
