--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -33,7 +33,7 @@
 	// has not answered it: all may have started together.
 	confirmTime = 3 * time.Second
 	// serverDialTimeout bounds the opening of a connection to a server.
-	serverDialTimeout = 600 * time.Millisecond
+	serverDialTimeout = 300 * time.Millisecond
 	// serverIdleTimeout is how long an idle connection to a server is kept.
 	serverIdleTimeout = 8 * time.Second
 	// userTimeout is how long sent bytes may stay unacknowledged.
