--- /dev/null
+++ b/hoster/fixture_test.go
@@ -0,0 +1,305 @@
+package hoster_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/hoster"
+	"github.com/pollencrank/pollencrank/limiter"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+const (
+	// limit is how long a test waits for something that must happen.
+	limit = 20 * time.Second
+	tick  = 5 * time.Millisecond
+)
+
+// collection is a stand-in of one kind of objects in the store.
+type collection[V any] struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]follower.Item[V]
+	changed  chan struct{}
+	// listable is closed when the collection may be listed.
+	listable chan struct{}
+	// cuts counts how often all waiting watches were cut without a sign.
+	cuts int
+	// isGone says that the history is lost for the next watch.
+	isGone bool
+}
+
+func newCollection[V any]() *collection[V] {
+	c := &collection[V]{items: map[string]follower.Item[V]{}, changed: make(chan struct{}), listable: make(chan struct{})}
+	close(c.listable)
+	return c
+}
+
+func (c *collection[V]) set(name string, value V, removed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	c.items[name] = follower.Item[V]{Name: name, Revision: c.revision, Removed: removed, Value: value}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// cut makes the waiting watches deaf.
+func (c *collection[V]) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts++
+}
+
+// loseHistory ends the waiting watches, and the next one learns that changes
+// were lost.
+func (c *collection[V]) loseHistory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isGone = true
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// takeGone reports whether the history is lost, and the cuts so far.
+func (c *collection[V]) takeGone() (bool, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := c.isGone
+	c.isGone = false
+	return gone, c.cuts
+}
+
+func (c *collection[V]) has(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	item, ok := c.items[name]
+	return ok && !item.Removed
+}
+
+func (c *collection[V]) since(revision uint64) ([]follower.Item[V], uint64, chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var items []follower.Item[V]
+	for _, item := range c.items {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, c.revision, c.changed
+}
+
+func (c *collection[V]) List(ctx context.Context) ([]follower.Item[V], uint64, error) {
+	select {
+	case <-c.listable:
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	items, revision, _ := c.since(0)
+	return items, revision, nil
+}
+
+func (c *collection[V]) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Item[V], uint64, error) {
+	c.mu.Lock()
+	begun := c.cuts
+	c.mu.Unlock()
+	for {
+		gone, cuts := c.takeGone()
+		if gone {
+			return nil, 0, &follower.HistoryGoneError{Cause: errLost}
+		}
+		if cuts != begun {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		items, revision, changed := c.since(after)
+		if len(items) > 0 {
+			return items, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(wait):
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+var errLost = errors.New("the history is lost")
+
+// store is a stand-in of the whole store.
+type store struct {
+	servers        *collection[registrar.Server]
+	configurations *collection[router.Configuration]
+	evacuations    *collection[registrar.Evacuation]
+	instances      *collection[namer.Instance]
+	// seeds are the peer addresses that instances are told of.
+	seeds []string
+}
+
+func newStore() *store {
+	return &store{
+		servers:        newCollection[registrar.Server](),
+		configurations: newCollection[router.Configuration](),
+		evacuations:    newCollection[registrar.Evacuation](),
+		instances:      newCollection[namer.Instance](),
+	}
+}
+
+func (s *store) Register(_ context.Context, i namer.Instance) error {
+	s.instances.set(i.ID, i, false)
+	return nil
+}
+
+func (s *store) Remove(_ context.Context, id string, _ uint64) error {
+	s.instances.set(id, namer.Instance{}, true)
+	return nil
+}
+
+func (s *store) configure(version uint64, prefix string) {
+	s.configurations.set("main", router.Configuration{
+		Version: version,
+		Routes: []router.Route{{
+			Name: "r", Host: "a.example", PathPrefix: prefix, MaxAttempts: 2, Timeout: 5 * time.Second,
+			Shares: []router.Share{{Service: "parts", Weight: 1}},
+		}},
+		Services: map[string]router.Service{"parts": {Name: "parts", MaxConnections: 100, ColdRate: 6}},
+	}, false)
+}
+
+// entry is a running instance.
+type entry struct {
+	namer.Instance
+	lookups, ready string
+	log            *lines
+	stop           context.CancelFunc
+	// done is closed when the instance has ended, with err.
+	done chan struct{}
+	err  error
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l
+}
+
+func (s *store) start(t *testing.T, id string, incarnation uint64) *entry {
+	t.Helper()
+	listeners := hoster.Listeners{Callers: listen(t), Ready: listen(t), Lookups: listen(t), Peers: listen(t), Metrics: listen(t)}
+	e := &entry{
+		Instance: namer.Instance{
+			ID: id, Incarnation: incarnation, FailureDomain: "north-a", Region: "north",
+			CallerAddress: listeners.Callers.Addr().String(), PeerAddress: listeners.Peers.Addr().String(),
+		},
+		lookups: listeners.Lookups.Addr().String(),
+		ready:   listeners.Ready.Addr().String(),
+		done:    make(chan struct{}),
+		log:     &lines{},
+	}
+	h := hoster.New(hoster.Config{
+		Self: e.Instance, RegionOf: map[string]string{"north-a": "north"}, Listeners: listeners, Dialect: platform.Dialect{},
+		Lookups: hoster.Lookups{
+			LookupPath: platform.LookupPath, ReadyPath: platform.ReadyPath, Read: platform.ReadLookup, Write: platform.WriteLookup,
+		},
+		Registry: s, Servers: s.servers, Configurations: s.configurations, Evacuations: s.evacuations, Instances: s.instances, Seeds: s.seeds,
+		Bounds: hoster.Bounds{
+			Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
+			StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
+		},
+		Log: slog.New(slog.NewJSONHandler(e.log, nil)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() {
+		defer close(e.done)
+		e.err = h.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-e.done
+	})
+	return e
+}
+
+// backend starts a server that answers as the platform's do.
+func (s *store) backend(t *testing.T, id string, handle http.HandlerFunc) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Signature", id)
+		w.Header().Set("X-Server-Load", "1,0,4")
+		handle(w, r)
+	}))
+	t.Cleanup(server.Close)
+	s.servers.set(id, registrar.Server{
+		ID: id, Service: "parts", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "north-a", Region: "north",
+		Slots: 4, Incarnation: 1,
+	}, false)
+}
+
+func (e *entry) get(t *testing.T, path string) (int, string, http.Header) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.CallerAddress+path, nil)
+	require.NoError(t, err)
+	r.Host = "a.example"
+	r.Header.Set("X-Attempt-Id", "id-"+path)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(body), response.Header
+}
+
+func (e *entry) lookup(t *testing.T) string {
+	t.Helper()
+	response, err := http.Get("http://" + e.lookups + platform.LookupPath + "?region=north&zone=north-a")
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return ""
+	}
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+func (e *entry) isReady(t *testing.T) bool {
+	t.Helper()
+	response, err := http.Get("http://" + e.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, limit, tick, what)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -155,14 +155,13 @@
 // New assembles an instance.
 func New(config Config) *Hoster {
 	h := &Hoster{
-		config:      config,
-		splitter:    router.NewSplitter(),
-		warmer:      warmer.New(config.Self.ID),
-		budgets:     forwarder.NewBudgets(config.Bounds.Retries, len(config.RegionOf)),
-		distances:   forwarder.NewDistances(config.Self.Region),
-		idles:       relayer.NewIdleCloser(),
-		registerNow: make(chan struct{}, 1),
-
+		config:       config,
+		splitter:     router.NewSplitter(),
+		warmer:       warmer.New(config.Self.ID),
+		budgets:      forwarder.NewBudgets(config.Bounds.Retries, len(config.RegionOf)),
+		distances:    forwarder.NewDistances(config.Self.Region),
+		idles:        relayer.NewIdleCloser(),
+		registerNow:  make(chan struct{}, 1),
 		peers:        newPeerClient(),
 		isConfigured: make(chan struct{}),
 		startedAt:    time.Now(),
@@ -180,11 +179,10 @@
 		Log:      config.Log,
 	})
 	h.relayer = relayer.New(relayer.Config{
-		Table:     h.table.Load,
-		Ready:     h.isConfigured,
-		Forwarder: h.newForwarder(),
-		Dialect:   config.Dialect,
-
+		Table:       h.table.Load,
+		Ready:       h.isConfigured,
+		Forwarder:   h.newForwarder(),
+		Dialect:     config.Dialect,
 		SampleEvery: config.SampleEvery,
 		Log:         config.Log,
 	})
