fix: a long listing is no reason to ask the seeds for everything

Change: seeds are asked only if the store has answered nothing yet, or not any more. Test: fails before (the look-up of a waiting entry is never refused, since it was configured by a seed), passes after.

--- a/hoster/bootstrap.go
+++ b/hoster/bootstrap.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// storePatience is how long a starting instance waits for the store before
-	// it asks other instances.
+	// storePatience is how long a starting instance waits for a first answer of
+	// the store before it asks other instances.
 	storePatience = 600 * time.Millisecond
 	// bootstrapTimeout bounds one round of questions, bootstrapPause is the
 	// pause between two.
@@ -66,6 +66,9 @@
 		case <-time.After(pause):
 		}
 		pause = bootstrapPause
+		if !h.isStoreAway() {
+			continue
+		}
 		askCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 		snapshot, err := bootstrapper.Fetch(askCtx, h.askSnapshot, h.config.Seeds)
 		cancel()
@@ -79,6 +82,11 @@
 	}
 }
 
+// isStoreAway reports whether the store has not answered this instance yet, or not
+// any more. A long listing that is under way is no reason to ask others: when a
+// large fleet starts together, all would ask the same few.
+func (h *Hoster) isStoreAway() bool { return h.table.Load() == nil || h.storeIsLost.Load() }
+
 // offer takes another instance's snapshot where the store has said nothing yet.
 func (h *Hoster) offer(snapshot bootstrapper.Snapshot) {
 	configurationHandler{h}.Apply([]follower.Item[router.Configuration]{{Value: snapshot.Configuration}})
--- a/hoster/bootstrap_test.go
+++ b/hoster/bootstrap_test.go
@@ -54,20 +54,38 @@
 
 	other := newStore()
 	other.configure(9, "/z/")
-	gate := make(chan struct{})
-	other.servers.listable = gate
+	other.servers.isBroken.Store(true)
 	other.seeds = []string{stale.PeerAddress}
 	second := other.start(t, "entry-2", 1)
 	eventually(t, "the second is ready", func() bool { return second.isReady(t) })
+	require.True(t, second.log.has(recorder.EventBootstrapped))
 	status, _, _ := second.get(t, "/x/1")
 	require.Equal(t, http.StatusNotFound, status)
-	close(gate)
+	other.servers.isBroken.Store(false)
 	eventually(t, "the store's servers are in force", func() bool {
 		status, _, _ := second.get(t, "/z/1")
 		return status == http.StatusServiceUnavailable
 	})
 }
 
+// A large fleet starts together and the store's listings take long: it answers, so
+// nobody asks the few seeds for everything.
+func TestALongListingIsWaitedFor(t *testing.T) {
+	s := newStore()
+	s.configure(4, "/x/")
+	first := s.start(t, "entry-1", 1)
+	eventually(t, "the first is ready", func() bool { return first.isReady(t) })
+
+	gate := make(chan struct{})
+	s.servers.listable = gate
+	s.seeds = []string{first.PeerAddress}
+	second := s.start(t, "entry-2", 1)
+	eventually(t, "the second has waited longer than for a store that is away", func() bool { return second.lookup(t) == "" })
+	close(gate)
+	eventually(t, "the second is ready", func() bool { return second.isReady(t) })
+	require.False(t, second.log.has(recorder.EventBootstrapped))
+}
+
 // All instances start together: an entry of the store is no sign that its
 // instance is up already.
 func TestAnInstanceThatHasJustStartedNamesNoneThatHasNotAnsweredIt(t *testing.T) {
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,8 @@
 	cuts int
 	// isGone says that the history is lost for the next watch.
 	isGone bool
+	// isBroken lets listings fail.
+	isBroken atomic.Bool
 }
 
 func newCollection[V any]() *collection[V] {
@@ -106,6 +109,9 @@
 }
 
 func (c *collection[V]) List(ctx context.Context) ([]follower.Item[V], uint64, error) {
+	if c.isBroken.Load() {
+		return nil, 0, errLost
+	}
 	select {
 	case <-c.listable:
 	case <-ctx.Done():
