--- a/soaker/harm.go
+++ b/soaker/disturbance.go
@@ -6,43 +6,43 @@
 	"time"
 )
 
-// harms are the spans in which time bounds do not hold. It is safe for concurrent
+// disturbances are the spans in which time bounds do not hold. It is safe for concurrent
 // use.
-type harms struct {
+type disturbances struct {
 	mu    sync.Mutex
-	spans []harmSpan
+	spans []disturbance
 }
 
-type harmSpan struct {
+type disturbance struct {
 	from, until time.Time
 }
 
 // add adds a span from now on.
-func (h *harms) add(until time.Time) {
+func (h *disturbances) add(until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.spans = append(h.spans, harmSpan{from: time.Now(), until: until})
+	h.spans = append(h.spans, disturbance{from: time.Now(), until: until})
 }
 
-func (h *harms) list() []harmSpan {
+func (h *disturbances) list() []disturbance {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return slices.Clone(h.spans)
 }
 
 // covers reports whether a moment lies in a span.
-func (h *harms) covers(at time.Time) bool {
-	return slices.ContainsFunc(h.list(), func(s harmSpan) bool { return !at.Before(s.from) && at.Before(s.until) })
+func (h *disturbances) covers(at time.Time) bool {
+	return slices.ContainsFunc(h.list(), func(s disturbance) bool { return !at.Before(s.from) && at.Before(s.until) })
 }
 
 // boundEnd returns when news of a moment must have taken effect: after the first
 // undisturbed span that is as long as the bound.
-func boundEnd(news time.Time, bound time.Duration, disturbed ...*harms) time.Time {
-	var spans []harmSpan
+func boundEnd(news time.Time, bound time.Duration, disturbed ...*disturbances) time.Time {
+	var spans []disturbance
 	for _, h := range disturbed {
 		spans = append(spans, h.list()...)
 	}
-	slices.SortFunc(spans, func(a, b harmSpan) int { return a.from.Compare(b.from) })
+	slices.SortFunc(spans, func(a, b disturbance) int { return a.from.Compare(b.from) })
 	start := news
 	for _, s := range spans {
 		if s.from.Before(start.Add(bound)) && s.until.After(start) {
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -18,7 +18,7 @@
 	configBound = 2500 * time.Millisecond
 	// evacuationBound is after how long an evacuated failure domain gets nothing.
 	evacuationBound = 5 * time.Second
-	// contactTime is how long after a harm time bounds hold again.
+	// contactTime is how long after a disturbance time bounds hold again.
 	contactTime = 4 * time.Second
 )
 
@@ -65,11 +65,11 @@
 	versions  []configured
 	// newest is the newest version that a start of an instance has shown.
 	newest map[string]uint64
-	// linksHarmed is until when requests may be held up on their way to a
+	// linksDisturbed is until when requests may be held up on their way to a
 	// server.
-	linksHarmed map[string]time.Time
-	// harms are the spans in which time bounds hold for no instance.
-	harms harms
+	linksDisturbed map[string]time.Time
+	// disturbances are the spans in which time bounds hold for no instance.
+	disturbances disturbances
 }
 
 // notice is news that must have taken effect after a bound.
@@ -86,27 +86,27 @@
 
 func newLedger() *ledger {
 	return &ledger{began: time.Now(), attempts: map[string]*sent{}, forbidden: map[string]notice{}, newest: map[string]uint64{},
-		linksHarmed: map[string]time.Time{}}
+		linksDisturbed: map[string]time.Time{}}
 }
 
-// breaks records a broken promise. The lock is held.
-func (l *ledger) breaks(promise, format string, args ...any) {
+// record adds a broken promise. The lock is held.
+func (l *ledger) record(promise, format string, args ...any) {
 	l.violations = append(l.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, args...), At: time.Since(l.began)})
 }
 
-// note records a broken promise.
-func (l *ledger) note(promise, format string, args ...any) {
+// report adds a broken promise.
+func (l *ledger) report(promise, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.breaks(promise, format, args...)
+	l.record(promise, format, args...)
 }
 
-// harmLink says that requests may be held up on their way to a server.
-func (l *ledger) harmLink(server string, until time.Time) {
+// disturbLink says that requests may be held up on their way to a server.
+func (l *ledger) disturbLink(server string, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until.After(l.linksHarmed[server]) {
-		l.linksHarmed[server] = until
+	if until.After(l.linksDisturbed[server]) {
+		l.linksDisturbed[server] = until
 	}
 }
 
@@ -149,22 +149,22 @@
 	defer l.mu.Unlock()
 	s := l.attempts[run.RequestID]
 	if s == nil {
-		l.breaks("only what callers sent runs", "server %s ran %q", run.Server, run.RequestID)
+		l.record("only what callers sent runs", "server %s ran %q", run.Server, run.RequestID)
 		return
 	}
 	if run.Path != s.Path {
-		l.breaks("a request is passed on unchanged", "%s: %s instead of %s", s.ID, run.Path, s.Path)
+		l.record("a request is passed on unchanged", "%s: %s instead of %s", s.ID, run.Path, s.Path)
 	}
 	if s.IsOrder && len(s.runs) > 0 {
-		l.breaks("an order runs at most once", "%s at %v and %s", s.ID, s.runs, run.Server)
+		l.record("an order runs at most once", "%s at %v and %s", s.ID, s.runs, run.Server)
 	}
 	if s.refused {
-		l.breaks("'not run' is true", "%s ran at %s after the refusal", s.ID, run.Server)
+		l.record("'not run' is true", "%s ran at %s after the refusal", s.ID, run.Server)
 	}
 	s.runs = append(s.runs, run.Server)
-	isHeldUp := run.At.Before(l.linksHarmed[run.Server])
+	isHeldUp := run.At.Before(l.linksDisturbed[run.Server])
 	if n, ok := l.forbidden[run.Server]; ok && !isHeldUp && l.isBound(s, n) {
-		l.breaks("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s after the news", s.ID, run.Server, s.by.id, run.At.Sub(n.at))
+		l.record("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s after the news", s.ID, run.Server, s.by.id, run.At.Sub(n.at))
 	}
 	l.checkVersion(s, versionOf(s.Path))
 }
@@ -173,10 +173,10 @@
 // its instance, in the same start and with nothing that holds the attempt up. The
 // lock is held.
 func (l *ledger) isBound(s *sent, n notice) bool {
-	if s.by.startNumber() != s.start || s.by.harms.covers(s.at) || s.by.harms.covers(time.Now()) {
+	if s.by.startNumber() != s.start || s.by.disturbances.covers(s.at) || s.by.disturbances.covers(time.Now()) {
 		return false
 	}
-	return s.at.After(boundEnd(n.at, n.bound, &l.harms, &s.by.harms))
+	return s.at.After(boundEnd(n.at, n.bound, &l.disturbances, &s.by.disturbances))
 }
 
 // versionOf returns the version that a path belongs to, or zero.
@@ -205,7 +205,7 @@
 	for _, c := range l.versions {
 		// Each version drops the route of the one before the last.
 		if c.version == version+2 && l.isBound(s, notice{at: c.at, bound: configBound}) {
-			l.breaks("a configuration is in force in time", "%s ran under a route that version %d dropped", s.ID, c.version)
+			l.record("a configuration is in force in time", "%s ran under a route that version %d dropped", s.ID, c.version)
 		}
 	}
 }
@@ -220,7 +220,7 @@
 	case reply.Status == http.StatusOK:
 		l.counts.Served++
 		if !reply.IsGenuine {
-			l.breaks("a caller gets its own whole answer", "%s by %s", s.ID, s.by.id)
+			l.record("a caller gets its own whole answer", "%s by %s", s.ID, s.by.id)
 		}
 	case reply.PromisesNotRun():
 		l.counts.NotRun++
@@ -240,7 +240,7 @@
 	}
 	s.refused = true
 	if len(s.runs) > 0 {
-		l.breaks("'not run' is true", "%s ran at %v before the refusal", s.ID, s.runs)
+		l.record("'not run' is true", "%s ran at %v before the refusal", s.ID, s.runs)
 	}
 }
 
@@ -249,18 +249,18 @@
 func (l *ledger) checkMissing(s *sent) {
 	version := versionOf(s.Path)
 	if version == 0 {
-		l.breaks("a route that always was there is served", "%s got 404 from %s", s.ID, s.by.id)
+		l.record("a route that always was there is served", "%s got 404 from %s", s.ID, s.by.id)
 		return
 	}
 	newest := l.versions[len(l.versions)-1].version
 	key := fmt.Sprintf("%s#%d", s.by.id, s.start)
 	// A version's own route is dropped by the one after the next.
 	if l.newest[key] >= version && newest < version+2 {
-		l.breaks("a configuration never reverts", "%s got 404 from %s, which has served version %d", s.ID, s.by.id, l.newest[key])
+		l.record("a configuration never reverts", "%s got 404 from %s, which has served version %d", s.ID, s.by.id, l.newest[key])
 	}
 	for _, c := range l.versions {
 		if c.version == version && newest < version+2 && l.isBound(s, notice{at: c.at, bound: configBound}) {
-			l.breaks("a configuration is in force in time", "%s got 404 from %s", s.ID, s.by.id)
+			l.record("a configuration is in force in time", "%s got 404 from %s", s.ID, s.by.id)
 		}
 	}
 }
@@ -278,7 +278,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(s.runs) > 0 && isCut(reply.Err) {
-		l.breaks("a planned stop cuts nothing off", "%s at %v by %s: %v", s.ID, s.runs, s.by.id, reply.Err)
+		l.record("a planned stop cuts nothing off", "%s at %v by %s: %v", s.ID, s.runs, s.by.id, reply.Err)
 	}
 }
 
--- a/soaker/ledger_test.go
+++ b/soaker/ledger_test.go
@@ -89,12 +89,12 @@
 		}, 1},
 		"the same by an instance that was frozen": {func(s *scene) {
 			s.forbid("s1", drainBound)
-			s.p.harms.add(time.Now().Add(contactTime))
+			s.p.disturbances.add(time.Now().Add(contactTime))
 			time.Sleep(drainBound + time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 0},
 		"the same while the store is down": {func(s *scene) {
-			s.harms.add(time.Now().Add(time.Minute))
+			s.disturbances.add(time.Now().Add(time.Minute))
 			s.forbid("s1", drainBound)
 			time.Sleep(drainBound + time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
@@ -102,14 +102,14 @@
 		"the same when the store has been down after the news took effect": {func(s *scene) {
 			s.forbid("s1", drainBound)
 			time.Sleep(drainBound + time.Second)
-			s.harms.add(time.Now().Add(time.Minute))
+			s.disturbances.add(time.Now().Add(time.Minute))
 			time.Sleep(time.Second)
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 1},
 		"the same on a link that was held": {func(s *scene) {
 			s.forbid("s1", drainBound)
 			time.Sleep(drainBound + time.Second)
-			s.harmLink("s1", time.Now().Add(contactTime))
+			s.disturbLink("s1", time.Now().Add(contactTime))
 			s.run(s.send("a", "/lookup/1", false), "s1")
 		}, 0},
 		"a new route that is missing": {func(s *scene) {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -20,8 +20,8 @@
 	logPath     string
 	// store is the instance's link to the store.
 	store *proxy
-	// harms are the spans in which time bounds do not hold for the instance.
-	harms harms
+	// disturbances are the spans in which time bounds do not hold for the instance.
+	disturbances disturbances
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -82,7 +82,7 @@
 func (p *process) isStoppingCalmly(s *sent) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.stopAt.IsZero() && p.starts == s.start && !p.harms.covers(s.at) && time.Now().Before(p.stopAt.Add(stopGrace))
+	return !p.stopAt.IsZero() && p.starts == s.start && !p.disturbances.covers(s.at) && time.Now().Before(p.stopAt.Add(stopGrace))
 }
 
 // isRunning reports whether the process runs.
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -23,7 +23,7 @@
 	heldPoll = 20 * time.Millisecond
 )
 
-// proxy passes connections on to a target over loopback and harms them as told.
+// proxy passes connections on to a target over loopback and disturbances them as told.
 type proxy struct {
 	target   string
 	listener net.Listener
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -1,5 +1,5 @@
 // Package soaker runs the real programs as separate processes on one machine,
-// harms them from outside, and checks the promises while they run by what callers
+// disturbances them from outside, and checks the promises while they run by what callers
 // and backend servers see.
 //
 // Instances are processes of pollencrankd; the platform's store and the backend
@@ -192,7 +192,7 @@
 		return err
 	}
 	s.instances = append(s.instances, p)
-	p.harms.add(time.Now().Add(contactTime))
+	p.disturbances.add(time.Now().Add(contactTime))
 	return p.start()
 }
 
@@ -306,7 +306,7 @@
 		sleep(ctx, stallTick)
 		now := time.Now()
 		if now.Sub(last) > stallLimit {
-			s.ledger.harms.add(now.Add(contactTime))
+			s.ledger.disturbances.add(now.Add(contactTime))
 			s.config.Log("the machine stood still for %s", now.Sub(last).Round(time.Millisecond))
 			s.mu.Lock()
 			s.stalls++
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -89,7 +89,7 @@
 	going.Wait()
 }
 
-// kind is a kind of trouble. Its choice picks what is harmed.
+// kind is a kind of trouble. Its choice picks what is disturbed.
 type kind struct {
 	name string
 	play func(ctx context.Context, span time.Duration, choice uint64)
@@ -119,7 +119,7 @@
 }
 
 // Shares of runs in which a kind of trouble occurs. Runs with few kinds show what
-// the many troubles of others hide: while the store is harmed, no time bound
+// the many troubles of others hide: while the store is disturbed, no time bound
 // holds.
 const (
 	kindShare      = 0.6
@@ -192,20 +192,20 @@
 	p.beginStop()
 	p.signal(syscall.SIGTERM)
 	if !p.awaitExit(exitLimit) {
-		s.ledger.note("a planned stop ends in time", "%s still runs %s after SIGTERM", p.id, exitLimit)
+		s.ledger.report("a planned stop ends in time", "%s still runs %s after SIGTERM", p.id, exitLimit)
 		p.signal(syscall.SIGKILL)
 		p.awaitExit(exitLimit)
 	} else if status := p.exitStatus(); status != 0 {
-		s.ledger.note("a planned stop ends without a failure", "%s ended with status %d", p.id, status)
+		s.ledger.report("a planned stop ends without a failure", "%s ended with status %d", p.id, status)
 	}
 	s.startAgain(ctx, p, span)
 }
 
 func (s *soak) startAgain(ctx context.Context, p *process, after time.Duration) {
 	sleep(ctx, after)
-	p.harms.add(time.Now().Add(contactTime))
+	p.disturbances.add(time.Now().Add(contactTime))
 	if err := p.start(); err != nil {
-		s.ledger.note("an instance starts", "%s: %v", p.id, err)
+		s.ledger.report("an instance starts", "%s: %v", p.id, err)
 	}
 }
 
@@ -215,7 +215,7 @@
 		return
 	}
 	defer s.giveBack(p)
-	p.harms.add(time.Now().Add(span + contactTime))
+	p.disturbances.add(time.Now().Add(span + contactTime))
 	p.signal(syscall.SIGKILL)
 	p.awaitExit(exitLimit)
 	s.startAgain(ctx, p, span)
@@ -228,11 +228,11 @@
 		return
 	}
 	defer s.giveBack(p)
-	p.harms.add(time.Now().Add(span + contactTime))
+	p.disturbances.add(time.Now().Add(span + contactTime))
 	p.signal(syscall.SIGSTOP)
 	sleep(ctx, span)
 	p.signal(syscall.SIGCONT)
-	p.harms.add(time.Now().Add(contactTime))
+	p.disturbances.add(time.Now().Add(contactTime))
 }
 
 func (s *soak) reload(_ context.Context, _ time.Duration, choice uint64) {
@@ -246,7 +246,7 @@
 
 func (s *soak) changeConfiguration(context.Context, time.Duration, uint64) {
 	if err := s.configure(); err != nil {
-		s.ledger.note("a configuration is accepted", "%v", err)
+		s.ledger.report("a configuration is accepted", "%v", err)
 	}
 }
 
@@ -259,7 +259,7 @@
 	}
 	defer s.releaseDomain()
 	if err := s.store.Evacuate(domain); err != nil {
-		s.ledger.note("an evacuation is accepted", "%v", err)
+		s.ledger.report("an evacuation is accepted", "%v", err)
 		return
 	}
 	var emptied []string
@@ -276,33 +276,33 @@
 
 func (s *soak) storeTrouble(trouble imitator.Trouble) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, _ uint64) {
-		s.ledger.harms.add(time.Now().Add(span + contactTime))
+		s.ledger.disturbances.add(time.Now().Add(span + contactTime))
 		s.store.Misbehave(trouble)
 		sleep(ctx, span)
 		s.store.Misbehave(imitator.Trouble{})
-		s.ledger.harms.add(time.Now().Add(contactTime))
+		s.ledger.disturbances.add(time.Now().Add(contactTime))
 	}
 }
 
 func (s *soak) storeForgets(context.Context, time.Duration, uint64) {
-	s.ledger.harms.add(time.Now().Add(contactTime))
+	s.ledger.disturbances.add(time.Now().Add(contactTime))
 	s.store.ForgetHistory()
 }
 
 func (s *soak) storeLink(state linkState) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, choice uint64) {
 		p := s.instance(choice)
-		p.harms.add(time.Now().Add(span + contactTime))
+		p.disturbances.add(time.Now().Add(span + contactTime))
 		p.store.set(state)
 		sleep(ctx, span)
 		p.store.set(linkState{})
-		p.harms.add(time.Now().Add(contactTime))
+		p.disturbances.add(time.Now().Add(contactTime))
 	}
 }
 
 func (s *soak) resetStoreLink(_ context.Context, _ time.Duration, choice uint64) {
 	p := s.instance(choice)
-	p.harms.add(time.Now().Add(contactTime))
+	p.disturbances.add(time.Now().Add(contactTime))
 	p.store.reset()
 }
 
@@ -334,11 +334,11 @@
 func (s *soak) serverLink(state linkState) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, choice uint64) {
 		b := s.server(choice)
-		s.ledger.harmLink(b.id, time.Now().Add(span+contactTime))
+		s.ledger.disturbLink(b.id, time.Now().Add(span+contactTime))
 		b.link.set(state)
 		sleep(ctx, span)
 		b.link.set(linkState{})
-		s.ledger.harmLink(b.id, time.Now().Add(contactTime))
+		s.ledger.disturbLink(b.id, time.Now().Add(contactTime))
 	}
 }
 
@@ -391,7 +391,7 @@
 	s.replaceServer(b)
 	b.Leave()
 	if err := s.store.PutServer(b.Server, b.link.address()); err != nil {
-		s.ledger.note("an entry is accepted", "%v", err)
+		s.ledger.report("an entry is accepted", "%v", err)
 	}
 	s.ledger.forbid(b.id, drainBound)
 	sleep(ctx, drainBound+span)
@@ -413,7 +413,7 @@
 
 func (s *soak) replaceServer(b *backend) {
 	if err := s.addServer(b.service, b.domain); err != nil {
-		s.ledger.note("a server starts", "%v", err)
+		s.ledger.report("a server starts", "%v", err)
 	}
 }
 
