fix: after an instance's own cut from the store, missing servers are gone at once

Each of the two watches that notice outages began the time anew, and a watch in its pause after a failure came back up to 1.2 s after the first one. Change: missing servers may have lapsed only if they are a quarter of their service or more; the time counts once, in either order of listing and news; Interrupt also ends the pause after a failure and a call that hangs.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -107,10 +107,11 @@
 	return &Follower[V]{config: config}
 }
 
-// errInterrupted ends a watch that may have been forgotten by the store.
+// errInterrupted ends a call that the store may have forgotten.
 var errInterrupted = errors.New("the watch was interrupted")
 
-// Interrupt ends the waiting watch and begins another one at once.
+// Interrupt ends the call that is under way, or the pause after a failure, and
+// begins another call at once.
 func (f *Follower[V]) Interrupt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -128,13 +129,17 @@
 		if failures > 0 {
 			wait = recoveryWait
 		}
-		next, err := f.step(ctx, revision, listed, wait)
+		// A first listing may take long and is never forgotten without a failure.
+		isFirst := !listed && failures == 0
+		stepCtx, end := f.interruptible(ctx, !isFirst)
+		next, err := f.step(stepCtx, revision, listed, wait)
 		switch {
 		case err == nil:
+			end()
 			f.regained(failures)
 			revision, listed, failures = next, true, 0
-		case errors.Is(err, errInterrupted):
-			continue
+		case errors.Is(context.Cause(stepCtx), errInterrupted):
+			// The next call is made at once.
 		case isHistoryGone(err):
 			f.config.Log.Warn("changes were lost, listing again", recorder.EventHistoryGone.Attr(), slog.String("collection", f.config.Name))
 			listed = false
@@ -144,12 +149,26 @@
 		default:
 			f.lost(ctx, failures, err)
 			failures++
-			f.pause(ctx, failures)
+			f.pause(stepCtx, failures)
 		}
+		end()
 	}
 	return ctx.Err()
 }
 
+// interruptible returns a context that Interrupt ends, if it may, and a function
+// that releases it.
+func (f *Follower[V]) interruptible(ctx context.Context, mayEnd bool) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if mayEnd {
+		f.setInterrupt(func() { cancel(errInterrupted) })
+	}
+	return ctx, func() {
+		f.setInterrupt(nil)
+		cancel(nil)
+	}
+}
+
 func isHistoryGone(err error) bool {
 	var gone *HistoryGoneError
 	return errors.As(err, &gone)
@@ -157,8 +176,6 @@
 
 // step performs one call and returns the revision to go on from.
 func (f *Follower[V]) step(ctx context.Context, revision uint64, listed bool, wait time.Duration) (uint64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	if !listed {
 		items, next, err := f.config.Source.List(ctx)
 		if err == nil {
@@ -166,12 +183,7 @@
 		}
 		return next, err
 	}
-	f.setInterrupt(func() { cancel(errInterrupted) })
-	defer f.setInterrupt(nil)
 	items, next, err := f.config.Source.Watch(ctx, revision, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
-		return 0, errInterrupted
-	}
 	if err != nil {
 		return 0, err
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -262,3 +262,18 @@
 		require.Equal(t, "1", h.get("a"))
 	})
 }
+
+// Another call has shown that the store is back: the pause after a failure, or a
+// call that hangs, need not come to its end first.
+func TestInterruptEndsThePauseAfterAFailure(t *testing.T) {
+	follow(t, func(s *source, h *handler, f *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		s.with(func() { s.isAway = true })
+		s.set("a", "1")
+		time.Sleep(10 * time.Second)
+		s.with(func() { s.isAway = false })
+		f.Interrupt()
+		synctest.Wait()
+		require.Equal(t, "1", h.get("a"))
+	})
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -28,10 +28,6 @@
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
-// returnWindow is how long servers whose entries lapsed while the store was away
-// have to write them again, before they count as gone.
-const returnWindow = 2200 * time.Millisecond
-
 // Server is what the platform says of a backend server.
 type Server struct {
 	ID            string
@@ -70,13 +66,7 @@
 	mu        sync.Mutex
 	backends  map[string]*Backend
 	evacuated map[string]bool
-	// missing holds servers whose entries are gone, until the deadline by
-	// which they must be back.
-	missing     map[string]time.Time
-	storeIsLost bool
-	// believeAfter is the moment before which a removal may be the trace of an
-	// outage of the store.
-	believeAfter time.Time
+	lapses
 }
 
 // view is the servers that the store knows as serving. It is never changed.
@@ -95,7 +85,7 @@
 		config:    config,
 		backends:  map[string]*Backend{},
 		evacuated: map[string]bool{},
-		missing:   map[string]time.Time{},
+		lapses:    lapses{missing: map[string]bool{}},
 	}
 	r.view.Store(&view{})
 	return r
@@ -131,41 +121,6 @@
 	return servers, evacuations
 }
 
-// StoreLost says that the store does not answer this instance.
-func (r *Registrar) StoreLost() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeIsLost = true
-}
-
-// StoreRegained says that the store answers again.
-func (r *Registrar) StoreRegained() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeIsLost = false
-	r.believeAfter = r.config.Now().Add(returnWindow)
-}
-
-// Expire removes servers that did not come back in time. It is called now and
-// then.
-func (r *Registrar) Expire() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Now()
-	changed := false
-	for id, deadline := range r.missing {
-		if r.storeIsLost || now.Before(deadline) {
-			continue
-		}
-		delete(r.missing, id)
-		r.drop(id)
-		changed = true
-	}
-	if changed {
-		r.rebuild()
-	}
-}
-
 // Servers takes the entries of backend servers.
 func (r *Registrar) Servers() follower.Handler[Server] { return serverHandler{r} }
 
@@ -183,11 +138,13 @@
 		listed[item.Name] = true
 		h.put(item.Value)
 	}
+	var removed []string
 	for id := range h.backends {
 		if !listed[id] {
-			h.remove(id)
+			removed = append(removed, id)
 		}
 	}
+	h.remove(removed)
 	h.rebuild()
 }
 
@@ -195,13 +152,15 @@
 func (h serverHandler) Apply(items []follower.Item[Server]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var removed []string
 	for _, item := range items {
 		if item.Removed {
-			h.remove(item.Name)
+			removed = append(removed, item.Name)
 			continue
 		}
 		h.put(item.Value)
 	}
+	h.remove(removed)
 	h.rebuild()
 }
 
@@ -223,22 +182,6 @@
 		slog.String("coldFor", max(0, s.ColdUntil.Sub(r.config.Now())).String()))
 }
 
-// remove forgets a server, or gives it time to return if its entry may have
-// lapsed while the store was away. The lock is held.
-func (r *Registrar) remove(id string) {
-	if r.backends[id] == nil {
-		return
-	}
-	if _, waiting := r.missing[id]; waiting {
-		return
-	}
-	if r.config.Now().Before(r.believeAfter) {
-		r.missing[id] = r.believeAfter
-		return
-	}
-	r.drop(id)
-}
-
 // drop forgets a server. The lock is held.
 func (r *Registrar) drop(id string) {
 	delete(r.backends, id)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -129,6 +129,53 @@
 	require.Empty(t, ids(r), "in calm times at once")
 }
 
+// An instance that was cut off from the store lists the servers anew, before or
+// after the news that the store is back. The few that are missing have left while
+// the others could write: they get nothing more.
+func TestAfterAnInstancesOwnCutMissingServersAreGoneAtOnce(t *testing.T) {
+	for name, isListedFirst := range map[string]bool{"listed first": true, "told first": false} {
+		t.Run(name, func(t *testing.T) {
+			r, c := newRegistrar()
+			all := []registrar.Server{server("a"), server("b"), server("c"), server("d"), server("e")}
+			r.Servers().Reset(put(all...))
+			r.StoreLost()
+			c.pass(10 * time.Second)
+			if !isListedFirst {
+				r.StoreRegained()
+			}
+			r.Servers().Reset(put(all[1:]...))
+			require.Equal(t, []string{"b", "c", "d", "e"}, ids(r))
+		})
+	}
+}
+
+// Entries that lapsed have the same time to return in whatever order the listing
+// and the news of the store come, and further news give no more.
+func TestLapsedEntriesHaveTheSameTimeInEitherOrder(t *testing.T) {
+	for name, isListedFirst := range map[string]bool{"listed first": true, "told first": false} {
+		t.Run(name, func(t *testing.T) {
+			r, c := newRegistrar()
+			r.Servers().Reset(put(server("a"), server("b")))
+			r.StoreLost()
+			c.pass(10 * time.Second)
+			if isListedFirst {
+				r.Servers().Reset(nil)
+				r.StoreRegained()
+			} else {
+				r.StoreRegained()
+				r.Servers().Reset(nil)
+			}
+			c.pass(2 * time.Second)
+			r.StoreRegained()
+			r.Expire()
+			require.Equal(t, []string{"a", "b"}, ids(r))
+			c.pass(500 * time.Millisecond)
+			r.Expire()
+			require.Empty(t, ids(r))
+		})
+	}
+}
+
 func TestAnUnreachableServerIsTriedAgain(t *testing.T) {
 	r, c := newRegistrar()
 	r.Servers().Reset(put(server("a")))
