feat: uploads; unreadable parts of a configuration cost only themselves

Change: upload is a kind of its own that runs at most once; the zero kind is the most careful one. Bodies are taken in before a server is chosen (stager: 512 KiB a request, 24 MiB a process), a caller that stops sending is ended with a true answer, a body that breaks off is not held against the server, and an answer no longer waits for a caller that sends nothing. Each part of a configuration is decoded by itself. The test of unknown kinds gives way to one that wants the same care and that all other parts stay in force.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,6 +95,8 @@
 	// Body is the request's whole body. A longer one is streamed from the
 	// request's Body, and then sent once only.
 	Body []byte
+	// BodyFailure, if set, returns why the request's Body broke off, or nil.
+	BodyFailure func() error
 
 	service router.Service
 	tried   []*registrar.Backend
@@ -190,6 +192,10 @@
 		err = readWhole(answer)
 	}
 	backend.End(sent)
+	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
+		// The server is not to blame.
+		return nil, bodyFailure(call, server, err)
+	}
 	f.observe(ctx, call, backend, answer, err, time.Since(started))
 	if err != nil {
 		return nil, err
@@ -197,6 +203,15 @@
 	return answer, nil
 }
 
+// bodyFailure returns the error of an attempt whose body broke off on its way in.
+func bodyFailure(call *Call, server registrar.Server, err error) error {
+	if pollencrank.IsNotRun(err) {
+		return pollencrank.NotRun(pollencrank.ReasonBodyBroken, "the request's body broke off: %v", call.BodyFailure())
+	}
+	return pollencrank.OutcomeUnknown(pollencrank.ReasonBodyBroken,
+		"the request's body broke off on its way to server %s: %v", server.ID, call.BodyFailure())
+}
+
 // check makes sure that an answer is a server's own and the one to the request.
 // Without it the request may have run.
 func check(answer *pollencrank.Answer, request *pollencrank.Request) error {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -403,6 +403,38 @@
 	require.Len(t, s.sender.sent, 1)
 }
 
+// A caller that breaks its upload off is no reason to think less of the server,
+// and the request may have run if something of it was sent.
+func TestABodyThatBreaksOffIsNotTheServersFault(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply func(server string) error
+		isRun bool
+	}{
+		"on its way":  {lost, true},
+		"before that": {shed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.route.Kind = router.Upload
+			s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+				return nil, test.reply(server)
+			}
+			_, err := s.Forward(t.Context(), &forwarder.Call{
+				Table: router.NewTable(router.Configuration{}), Route: &s.route, ObjectKey: "17",
+				BodyFailure: func() error { return io.ErrUnexpectedEOF },
+				Request: &pollencrank.Request{
+					ID: "r", Deadline: time.Now().Add(time.Second), Body: strings.NewReader("long"), ContentLength: 4,
+				},
+			})
+			require.ErrorContains(t, err, string(pollencrank.ReasonBodyBroken))
+			require.Equal(t, test.isRun, !pollencrank.IsNotRun(err))
+			require.Len(t, s.sender.sent, 1)
+			health := s.registrar.Find(s.sender.sent[0]).Health(time.Now())
+			require.Zero(t, health.FailureShare)
+		})
+	}
+}
+
 func TestACallerThatLeftIsNotServedAgain(t *testing.T) {
 	s := newSystem(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -183,7 +183,7 @@
 	s.configurations.set("main", router.Configuration{
 		Version: version,
 		Routes: []router.Route{{
-			Name: "r", Host: "a.example", PathPrefix: prefix, MaxAttempts: 2, Timeout: 5 * time.Second,
+			Name: "r", Host: "a.example", PathPrefix: prefix, Kind: router.Idempotent, MaxAttempts: 2, Timeout: 5 * time.Second,
 			Shares: []router.Share{{Service: "parts", Weight: 1}},
 		}},
 		Services: map[string]router.Service{"parts": {Name: "parts", MaxConnections: 100, ColdRate: 6}},
--- a/outcome.go
+++ b/outcome.go
@@ -42,6 +42,10 @@
 	ReasonServerReplaced     Reason = "serverReplaced"
 	ReasonAnswerMismatch     Reason = "answerOfAnotherRequest"
 	ReasonTooManyConnections Reason = "tooManyRequests"
+	ReasonRouteUnreadable    Reason = "routeUnreadable"
+	ReasonBodyTimeout        Reason = "bodyTimeout"
+	ReasonBodyBroken         Reason = "bodyBrokeOff"
+	ReasonBodiesFull         Reason = "noRoomForBodies"
 )
 
 // NotRunError says that a request certainly did not run on any backend server
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -23,6 +23,8 @@
 	// maxDrainBytes is how much of a body that the handler left is read, so that
 	// the connection can be used again.
 	maxDrainBytes = 256 << 10
+	// drainTime is how long such a rest is waited for.
+	drainTime = 100 * time.Millisecond
 	// lingerTime is how long what still arrives is read after the last answer:
 	// closing a connection with unread bytes would reset it under the answer.
 	lingerTime = 500 * time.Millisecond
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"runtime/debug"
@@ -49,6 +50,7 @@
 	if request.Body != nil && request.Body != http.NoBody {
 		e.body = &requestBody{
 			ReadCloser: request.Body,
+			raw:        c.raw,
 			atEnd:      make(chan struct{}),
 		}
 		if httpguts.HeaderValuesContainsToken(request.Header["Expect"], "100-continue") {
@@ -81,6 +83,15 @@
 	e.conn.abort()
 }
 
+// SetReadDeadline bounds the reading of the request's body, for
+// http.ResponseController.
+func (e *exchange) SetReadDeadline(deadline time.Time) error {
+	if e.body == nil {
+		return http.ErrNotSupported
+	}
+	return e.body.setDeadline(deadline)
+}
+
 // awaitTurn waits until the answers before this one were given.
 func (e *exchange) awaitTurn() {
 	if e.previous != nil {
@@ -216,9 +227,37 @@
 // requestBody is the body of a request. It tells when its end was reached.
 type requestBody struct {
 	io.ReadCloser
+	raw         net.Conn
 	onFirstRead func()
 	once        sync.Once
 	atEnd       chan struct{}
+
+	mu          sync.Mutex
+	hasDeadline bool
+	hasEnded    bool
+}
+
+// setDeadline bounds reading until the body's end. What follows on the connection
+// is another request, which the deadline is not for.
+func (b *requestBody) setDeadline(deadline time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.hasEnded {
+		return nil
+	}
+	b.hasDeadline = true
+	return b.raw.SetReadDeadline(deadline)
+}
+
+// end notes that the body's end was reached.
+func (b *requestBody) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hasEnded = true
+	if b.hasDeadline {
+		_ = b.raw.SetReadDeadline(time.Time{})
+	}
+	close(b.atEnd)
 }
 
 // Read implements io.Reader.
@@ -229,7 +268,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.once.Do(func() { close(b.atEnd) })
+		b.once.Do(b.end)
 	}
 	return n, err
 }
@@ -239,9 +278,10 @@
 func (b *requestBody) Close() error { return nil }
 
 // drain reads a short rest of the body and reports whether its end was reached.
-// A caller that waits to be told to send the body does not send it.
+// A caller that waits to be told to send the body does not send it, and one that
+// sends slowly gets its answer without delay.
 func (b *requestBody) drain() bool {
-	if b.onFirstRead != nil {
+	if b.onFirstRead != nil || b.setDeadline(time.Now().Add(drainTime)) != nil {
 		return false
 	}
 	_, err := io.CopyN(io.Discard, b, maxDrainBytes)
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -64,6 +64,7 @@
 	EventServerJoined          Event = 1913
 	EventServerGone            Event = 1914
 	EventBootstrapped          Event = 1915
+	EventPartUnreadable        Event = 1916
 )
 
 // Description says what an event means. It is the text of docs/EVENTS.md.
@@ -123,6 +124,7 @@
 		{EventServerJoined, slog.LevelInfo, "A backend server is in use; coldFor says how long it warms up."},
 		{EventServerGone, slog.LevelInfo, "A backend server's entry is gone; it gets no work."},
 		{EventBootstrapped, slog.LevelWarn, "The store does not answer; the instance starts with what another instance knows."},
+		{EventPartUnreadable, slog.LevelWarn, "A part of the configuration cannot be read; what depends on it is refused or served with the greatest care."},
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,7 +11,6 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -28,18 +27,19 @@
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/stager"
 )
 
 const (
-	// bufferedBodyBytes is the length up to which a request's body is kept, so
-	// that the request can be sent again.
-	bufferedBodyBytes = 256 << 10
 	// defaultPatience is how long a caller waits that does not say.
 	defaultPatience = 30 * time.Second
 	// startPatience is how long a request waits for the configuration of an
 	// instance that has just started. Most get it sooner than a caller that is
 	// sent away could be back.
 	startPatience = 400 * time.Millisecond
+	// faultPause is when a caller may come back to a route that cannot be read:
+	// only another configuration mends it.
+	faultPause = 2 * time.Second
 	// startPause is when a caller may come back to an instance that has no
 	// configuration yet.
 	startPause = 300 * time.Millisecond
@@ -80,6 +80,8 @@
 	Ready     <-chan struct{}
 	Forwarder Forwarder
 	Dialect   Dialect
+	// Stager holds the bodies of requests. The default has the default bounds.
+	Stager *stager.Stager
 	// SampleEvery is how many answered requests there are for one that is
 	// logged. Refusals and failures are always logged.
 	SampleEvery int
@@ -99,6 +101,9 @@
 
 // New returns a Relayer.
 func New(config Config) *Relayer {
+	if config.Stager == nil {
+		config.Stager = stager.New(stager.Config{})
+	}
 	if config.SampleEvery <= 0 {
 		config.SampleEvery = defaultSampleEvery
 	}
@@ -140,6 +145,12 @@
 		r.refuse(w, call, headers, err, started)
 		return
 	}
+	release, err := r.stage(w, incoming, call)
+	if err != nil {
+		r.refuse(w, call, headers, err, started)
+		return
+	}
+	defer release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
 	defer cancel()
 	answer, err := r.config.Forwarder.Forward(ctx, call)
@@ -189,6 +200,14 @@
 	if route == nil {
 		return nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
 	}
+	if route.Fault != "" {
+		err := pollencrank.NotRun(pollencrank.ReasonRouteUnreadable, "route %s: %s", route.Name, route.Fault)
+		err.RetryAt = now.Add(faultPause)
+		return nil, err
+	}
+	if limit := table.Limits.MaxBodyBytes; limit > 0 && incoming.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
 	patience := headers.Patience
 	if patience <= 0 {
 		patience = defaultPatience
@@ -212,7 +231,7 @@
 			ContentLength: incoming.ContentLength,
 		},
 	}
-	return call, readBody(call, incoming, table.Limits.MaxBodyBytes)
+	return call, nil
 }
 
 func refusal(reason pollencrank.Reason, now time.Time, format string, args ...any) error {
@@ -221,32 +240,6 @@
 	return err
 }
 
-// readBody reads the body of a request that is not very long, so that it can be
-// sent again.
-func readBody(call *forwarder.Call, incoming *http.Request, limit int64) error {
-	if limit > 0 && incoming.ContentLength > limit {
-		return pollencrank.NotRun(pollencrank.ReasonTooLarge, "%d bytes exceed the limit of %d", incoming.ContentLength, limit)
-	}
-	if incoming.ContentLength == 0 {
-		return nil
-	}
-	if incoming.ContentLength > bufferedBodyBytes {
-		call.Request.Body = incoming.Body
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(incoming.Body, bufferedBodyBytes+1))
-	if err != nil {
-		return pollencrank.NotRun(pollencrank.ReasonMalformed, "the request's body broke off: %v", err)
-	}
-	if len(body) > bufferedBodyBytes {
-		call.Request.Body = io.MultiReader(bytes.NewReader(body), incoming.Body)
-		return nil
-	}
-	call.Body = body
-	call.Request.ContentLength = int64(len(body))
-	return nil
-}
-
 // send passes an answer on.
 func (r *Relayer) send(w http.ResponseWriter, answer *pollencrank.Answer) {
 	header := w.Header()
@@ -315,8 +308,10 @@
 		return http.StatusNotFound
 	case pollencrank.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case pollencrank.ReasonMalformed:
+	case pollencrank.ReasonMalformed, pollencrank.ReasonBodyBroken:
 		return http.StatusBadRequest
+	case pollencrank.ReasonBodyTimeout:
+		return http.StatusRequestTimeout
 	}
 	return http.StatusServiceUnavailable
 }
--- a/router/router.go
+++ b/router/router.go
@@ -26,18 +26,20 @@
 // Kind says what may be repeated.
 type Kind uint8
 
-// Kinds of routes.
+// Kinds of routes. The zero value is the most careful one.
 const (
-	// Idempotent requests may run more than once.
-	Idempotent Kind = iota
 	// NonIdempotent requests run at most once.
-	NonIdempotent
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
 	// Download requests are idempotent and have large answers.
 	Download
+	// Upload requests run at most once and have large bodies.
+	Upload
 )
 
 // MayRepeat reports whether a request of kind k may run more than once.
-func (k Kind) MayRepeat() bool { return k != NonIdempotent }
+func (k Kind) MayRepeat() bool { return k == Idempotent || k == Download }
 
 // Share is a service's part of a route's requests.
 type Share struct {
@@ -67,6 +69,9 @@
 	// HomeRegions are the only regions that may serve the requests. Empty
 	// means all.
 	HomeRegions []string
+	// Fault says why no request of the route can be served: a part of it that
+	// decides where or how often requests run could not be read.
+	Fault string
 }
 
 // AllowsRegion reports whether the route may be served in a region.
