feat: the store's news come through relays

Change: replicator. One instance of a failure domain, the relay, watches the store, the others follow it over connect-go; copies take changes from any source in any order and never go back; who hears no relay goes to the next one, then watches the store itself; instances tell each other how far they know and fetch what they miss. Configurations travel as changes of routes. Instances register when they start, so that a starting fleet finds its relays. bootstrapper and gob are gone: a starting instance without the store fetches the same messages from its seeds.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -19,9 +19,14 @@
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
-// collectPercent makes the garbage collector keep the heap small: an instance
-// has memory by the hundred megabytes and live data by the megabyte.
-const collectPercent = 50
+const (
+	// collectPercent makes the garbage collector keep the heap small: an instance
+	// has memory by the hundred megabytes and live data by the megabyte.
+	collectPercent = 50
+	// memoryShare is the share of the process's memory from which the garbage
+	// collector works harder.
+	memoryShare = 0.7
+)
 
 // hostedCommand runs an instance that a platform hosts.
 type hostedCommand struct {
@@ -44,6 +49,9 @@
 	lines := recorder.NewWriter(os.Stdout)
 	defer lines.Close()
 	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: c.LogLevel}))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
 	h, err := c.newHoster(settings, log)
 	if err != nil {
 		return err
@@ -68,6 +76,7 @@
 			Region:        settings.Region,
 			CallerAddress: settings.CallerAddress,
 			PeerAddress:   settings.PeerAddress,
+			Capacity:      settings.Cores,
 		},
 		RegionOf:  settings.RegionOf,
 		Listeners: listeners,
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,18 +1,19 @@
-// Package follower keeps a copy of a collection of the platform's store up to
-// date: one listing at the start, then one waiting watch after the other.
+// Package follower reads a collection of the platform's store: one listing at
+// the start, then one waiting watch after the other.
 //
 // A Follower outlives outages of the store. What it has handed over stays in
 // force meanwhile. A watch that was accepted by a store that then went silent
 // never ends by itself, so one follower with a short wait tells the others, by
-// Interrupt, when the store has answered again after a failure.
+// Interrupt, when the store has answered again after a failure. While others
+// tell the instance what is new, Pause saves the watches.
 //
 // # Usage
 //
 //	f := follower.New(follower.Config[Server]{
-//		Name:    "servers",
-//		Source:  servers,
-//		Handler: registrar,
-//		Wait:    20 * time.Second,
+//		Name:   "servers",
+//		Source: servers,
+//		Target: replica,
+//		Wait:   20 * time.Second,
 //	})
 //	err := f.Run(ctx)
 package follower
@@ -67,7 +68,7 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item[V], uint64, error)
 }
 
-// Handler takes what a follower has learnt.
+// Handler takes what was learnt of a collection.
 type Handler[V any] interface {
 	// Reset replaces everything.
 	Reset(items []Item[V])
@@ -75,21 +76,40 @@
 	Apply(items []Item[V])
 }
 
+// Change is what became of a collection after one revision, up to another one.
+type Change[V any] struct {
+	After    uint64
+	Position uint64
+	// IsWhole says that the items are everything that there is at Position,
+	// whatever was before.
+	IsWhole bool
+	Items   []Item[V]
+}
+
+// Target is the copy of a collection that a follower keeps up to date. Others may
+// do so as well.
+type Target[V any] interface {
+	// Position returns the revision up to which the collection is known. It
+	// reports false if it is not known at all.
+	Position() (uint64, bool)
+	// Take takes a change.
+	Take(change Change[V]) error
+}
+
 // Config is the configuration of a Follower.
 type Config[V any] struct {
-	Name    string
-	Source  Source[V]
-	Handler Handler[V]
+	Name   string
+	Source Source[V]
+	Target Target[V]
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
 	// Gather is the pause after a change in which further ones come together,
 	// so that a burst of changes costs few calls.
 	Gather time.Duration
-	// OnLost and OnRegained, if set, are told when calls begin to fail and
-	// when they succeed again. OnHistoryGone is told when changes were lost:
-	// other watches may have been forgotten as well.
-	OnLost        func()
-	OnRegained    func()
+	// OnContact, if set, is told when calls begin to fail and when they succeed
+	// again. OnHistoryGone is told when changes were lost: other watches may have
+	// been forgotten as well.
+	OnContact     func()
 	OnHistoryGone func()
 	Log           *slog.Logger
 }
@@ -100,11 +120,67 @@
 
 	mu        sync.Mutex
 	interrupt context.CancelFunc
+	isPaused  bool
+	// resumed is closed when the follower need not pause any more.
+	resumed   chan struct{}
+	isFailing bool
+	// answeredAt is when the store last answered.
+	answeredAt time.Time
 }
 
 // New returns a Follower.
 func New[V any](config Config[V]) *Follower[V] {
-	return &Follower[V]{config: config}
+	return &Follower[V]{config: config, resumed: make(chan struct{})}
+}
+
+// Pause ends the call that is under way and begins none until Resume.
+func (f *Follower[V]) Pause() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isPaused {
+		return
+	}
+	f.isPaused = true
+	f.resumed = make(chan struct{})
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// Resume lets the follower watch again.
+func (f *Follower[V]) Resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isPaused {
+		f.isPaused = false
+		close(f.resumed)
+	}
+}
+
+// pausing returns a channel that ends the pause, or nil if there is none. A
+// failure before the pause says nothing any more.
+func (f *Follower[V]) pausing() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.isPaused {
+		return nil
+	}
+	f.isFailing = false
+	return f.resumed
+}
+
+// IsFailing reports whether the last call failed.
+func (f *Follower[V]) IsFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isFailing
+}
+
+// AnsweredAt returns when the store last answered a call.
+func (f *Follower[V]) AnsweredAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeredAt
 }
 
 // errInterrupted ends a call that the store may have forgotten.
@@ -122,32 +198,33 @@
 
 // Run follows the collection until ctx ends.
 func (f *Follower[V]) Run(ctx context.Context) error {
-	var revision uint64
-	listed, failures := false, 0
+	mustList, failures := false, 0
 	for ctx.Err() == nil {
-		wait := f.config.Wait
-		if failures > 0 {
-			wait = recoveryWait
+		if resumed := f.pausing(); resumed != nil {
+			failures = 0
+			await(ctx, resumed)
+			continue
 		}
+		_, isKnown := f.config.Target.Position()
 		// A first listing may take long and is never forgotten without a failure.
-		isFirst := !listed && failures == 0
+		isFirst := !isKnown && failures == 0
 		stepCtx, end := f.interruptible(ctx, !isFirst)
-		next, err := f.step(stepCtx, revision, listed, wait)
+		err := f.step(stepCtx, mustList || !isKnown, failures)
 		switch {
 		case err == nil:
 			end()
-			f.regained(failures)
-			revision, listed, failures = next, true, 0
+			f.answered(failures)
+			mustList, failures = false, 0
 		case errors.Is(context.Cause(stepCtx), errInterrupted):
 			// The next call is made at once.
 		case isHistoryGone(err):
 			f.config.Log.Warn("changes were lost, listing again", recorder.EventHistoryGone.Attr(), slog.String("collection", f.config.Name))
-			listed = false
+			mustList = true
 			if f.config.OnHistoryGone != nil {
 				f.config.OnHistoryGone()
 			}
 		default:
-			f.lost(ctx, failures, err)
+			f.failed(ctx, failures, err)
 			failures++
 			f.pause(stepCtx, failures)
 		}
@@ -156,6 +233,13 @@
 	return ctx.Err()
 }
 
+func await(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
 // interruptible returns a context that Interrupt ends, if it may, and a function
 // that releases it.
 func (f *Follower[V]) interruptible(ctx context.Context, mayEnd bool) (context.Context, func()) {
@@ -174,24 +258,29 @@
 	return errors.As(err, &gone)
 }
 
-// step performs one call and returns the revision to go on from.
-func (f *Follower[V]) step(ctx context.Context, revision uint64, listed bool, wait time.Duration) (uint64, error) {
-	if !listed {
-		items, next, err := f.config.Source.List(ctx)
-		if err == nil {
-			f.config.Handler.Reset(items)
+// step performs one call and hands over what it brought.
+func (f *Follower[V]) step(ctx context.Context, mustList bool, failures int) error {
+	if mustList {
+		items, position, err := f.config.Source.List(ctx)
+		if err != nil {
+			return err
 		}
-		return next, err
+		return f.config.Target.Take(Change[V]{Position: position, IsWhole: true, Items: items})
 	}
-	items, next, err := f.config.Source.Watch(ctx, revision, wait)
+	wait := f.config.Wait
+	if failures > 0 {
+		wait = recoveryWait
+	}
+	after, _ := f.config.Target.Position()
+	items, position, err := f.config.Source.Watch(ctx, after, wait)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	if len(items) > 0 {
-		f.config.Handler.Apply(items)
+	err = f.config.Target.Take(Change[V]{After: after, Position: max(position, after), Items: items})
+	if err == nil && len(items) > 0 {
 		sleep(ctx, f.config.Gather)
 	}
-	return max(next, revision), nil
+	return err
 }
 
 func (f *Follower[V]) setInterrupt(interrupt context.CancelFunc) {
@@ -200,25 +289,33 @@
 	f.interrupt = interrupt
 }
 
-func (f *Follower[V]) lost(ctx context.Context, failures int, err error) {
+func (f *Follower[V]) failed(ctx context.Context, failures int, err error) {
 	if failures > 0 || ctx.Err() != nil {
 		return
 	}
 	f.config.Log.Warn("the store does not answer", recorder.EventStoreUnavailable.Attr(),
 		slog.String("collection", f.config.Name), slog.Any("error", err))
-	if f.config.OnLost != nil {
-		f.config.OnLost()
-	}
+	f.setFailing(true)
 }
 
-func (f *Follower[V]) regained(failures int) {
-	if failures == 0 {
-		return
+func (f *Follower[V]) answered(failures int) {
+	f.mu.Lock()
+	f.answeredAt = time.Now()
+	f.mu.Unlock()
+	if failures > 0 {
+		f.config.Log.Info("the store answers again", recorder.EventStoreBack.Attr(),
+			slog.String("collection", f.config.Name), slog.Int("failures", failures))
 	}
-	f.config.Log.Info("the store answers again", recorder.EventStoreBack.Attr(),
-		slog.String("collection", f.config.Name), slog.Int("failures", failures))
-	if f.config.OnRegained != nil {
-		f.config.OnRegained()
+	f.setFailing(false)
+}
+
+func (f *Follower[V]) setFailing(isFailing bool) {
+	f.mu.Lock()
+	hasChanged := f.isFailing != isFailing
+	f.isFailing = isFailing
+	f.mu.Unlock()
+	if hasChanged && f.config.OnContact != nil {
+		f.config.OnContact()
 	}
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -114,60 +114,69 @@
 	}
 }
 
-// handler keeps what it is handed.
-type handler struct {
-	mu     sync.Mutex
-	values map[string]string
-	resets int
+// target keeps what it is handed.
+type target struct {
+	mu       sync.Mutex
+	isKnown  bool
+	position uint64
+	values   map[string]string
+	resets   int
 	// gone and applied count losses of history and batches of changes.
 	gone, applied int
 }
 
-func (h *handler) Reset(items []item) {
+func (h *target) Position() (uint64, bool) {
 	h.mu.Lock()
-	h.values = map[string]string{}
-	h.resets++
-	h.mu.Unlock()
-	h.Apply(items)
+	defer h.mu.Unlock()
+	return h.position, h.isKnown
 }
 
-func (h *handler) Apply(items []item) {
+func (h *target) Take(change follower.Change[string]) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.applied++
-	for _, i := range items {
+	if change.IsWhole {
+		h.isKnown = true
+		h.values = map[string]string{}
+		h.resets++
+	}
+	h.position = change.Position
+	if len(change.Items) > 0 {
+		h.applied++
+	}
+	for _, i := range change.Items {
 		h.values[i.Name] = i.Value
 	}
+	return nil
 }
 
-// counts is what a handler was told.
+// counts is what a target was told.
 type counts struct{ resets, gone, applied int }
 
-func (h *handler) counts() counts {
+func (h *target) counts() counts {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return counts{resets: h.resets, gone: h.gone, applied: h.applied}
 }
 
-func (h *handler) historyGone() {
+func (h *target) historyGone() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gone++
 }
 
-func (h *handler) get(name string) string {
+func (h *target) get(name string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.values[name]
 }
 
 // follow runs a follower in a bubble until the test function returns.
-func follow(t *testing.T, test func(s *source, h *handler, f *follower.Follower[string])) {
+func follow(t *testing.T, test func(s *source, h *target, f *follower.Follower[string])) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s, h := newSource(), &handler{}
+		s, h := newSource(), &target{}
 		f := follower.New(follower.Config[string]{
-			Name: "test", Source: s, Handler: h, Wait: 10 * time.Second, Gather: 100 * time.Millisecond,
+			Name: "test", Source: s, Target: h, Wait: 10 * time.Second, Gather: 100 * time.Millisecond,
 			OnHistoryGone: h.historyGone, Log: slog.New(slog.DiscardHandler),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -180,7 +189,7 @@
 }
 
 func TestChangesArrive(t *testing.T) {
-	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, _ *follower.Follower[string]) {
 		s.set("a", "1")
 		time.Sleep(time.Second)
 		require.Equal(t, "1", h.get("a"))
@@ -192,7 +201,7 @@
 }
 
 func TestAnOutageKeepsWhatIsKnown(t *testing.T) {
-	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, _ *follower.Follower[string]) {
 		s.set("a", "1")
 		time.Sleep(time.Second)
 		s.with(func() { s.isAway = true })
@@ -207,7 +216,7 @@
 }
 
 func TestLostHistoryIsListedAnew(t *testing.T) {
-	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, _ *follower.Follower[string]) {
 		time.Sleep(time.Second)
 		s.with(func() { s.hasForgotten = true; s.items["b"] = "2" })
 		s.set("a", "1")
@@ -219,7 +228,7 @@
 }
 
 func TestABurstOfChangesCostsFewCalls(t *testing.T) {
-	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, _ *follower.Follower[string]) {
 		time.Sleep(time.Second)
 		before := h.counts().applied
 		for range 50 {
@@ -236,7 +245,7 @@
 // A call that the store never answers must not keep a follower from noticing
 // that the store is back.
 func TestAfterAFailureTheNextCallIsShort(t *testing.T) {
-	follow(t, func(s *source, h *handler, _ *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, _ *follower.Follower[string]) {
 		time.Sleep(time.Second)
 		s.with(func() { s.isAway = true })
 		s.set("b", "1")
@@ -250,7 +259,7 @@
 
 // A watch that the store forgot would wait for ever without Interrupt.
 func TestInterruptRenewsAForgottenWatch(t *testing.T) {
-	follow(t, func(s *source, h *handler, f *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, f *follower.Follower[string]) {
 		s.with(func() { s.isSilent = true })
 		time.Sleep(time.Second)
 		s.set("a", "1")
@@ -266,7 +275,7 @@
 // Another call has shown that the store is back: the pause after a failure, or a
 // call that hangs, need not come to its end first.
 func TestInterruptEndsThePauseAfterAFailure(t *testing.T) {
-	follow(t, func(s *source, h *handler, f *follower.Follower[string]) {
+	follow(t, func(s *source, h *target, f *follower.Follower[string]) {
 		time.Sleep(time.Second)
 		s.with(func() { s.isAway = true })
 		s.set("a", "1")
@@ -277,3 +286,50 @@
 		require.Equal(t, "1", h.get("a"))
 	})
 }
+
+// While others tell the instance what is new, it need not watch.
+func TestAPauseSavesTheWatches(t *testing.T) {
+	follow(t, func(s *source, h *target, f *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		f.Pause()
+		synctest.Wait()
+		s.set("a", "1")
+		time.Sleep(time.Minute)
+		require.Empty(t, h.get("a"))
+		f.Resume()
+		synctest.Wait()
+		require.Equal(t, "1", h.get("a"))
+		require.Equal(t, 1, h.counts().resets, "what came meanwhile is read, not everything")
+	})
+}
+
+// Others have told what came during the pause.
+func TestAWatchBeginsWhereOthersLeftOff(t *testing.T) {
+	follow(t, func(s *source, h *target, f *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		f.Pause()
+		synctest.Wait()
+		s.set("a", "1")
+		s.set("b", "1")
+		require.NoError(t, h.Take(follower.Change[string]{After: 1, Position: 2, Items: []item{{Name: "a", Value: "1"}}}))
+		before := h.counts().applied
+		f.Resume()
+		synctest.Wait()
+		require.Equal(t, "1", h.get("b"))
+		require.Equal(t, before+1, h.counts().applied)
+	})
+}
+
+func TestAFollowerTellsWhenTheStoreFailsAndAnswers(t *testing.T) {
+	follow(t, func(s *source, _ *target, f *follower.Follower[string]) {
+		time.Sleep(time.Second)
+		require.False(t, f.IsFailing())
+		s.with(func() { s.isAway = true })
+		s.set("a", "1")
+		time.Sleep(time.Second)
+		require.True(t, f.IsFailing())
+		s.with(func() { s.isAway = false })
+		time.Sleep(2 * time.Second)
+		require.False(t, f.IsFailing())
+	})
+}
--- a/hoster/bootstrap_test.go
+++ b/hoster/bootstrap_test.go
@@ -22,7 +22,7 @@
 	first := s.start(t, "entry-1", 1)
 	eventually(t, "the first is ready", func() bool { return first.isReady(t) })
 
-	away := newStore()
+	away := newStoreAt(s.servers.latest)
 	gate := make(chan struct{})
 	away.servers.listable, away.configurations.listable = gate, gate
 	away.evacuations.listable, away.instances.listable = gate, gate
@@ -52,7 +52,8 @@
 	stale := s.start(t, "entry-1", 1)
 	eventually(t, "the stale one is ready", func() bool { return stale.isReady(t) })
 
-	other := newStore()
+	s.breakOff()
+	other := newStoreAt(s.servers.latest)
 	other.configure(9, "/z/")
 	other.servers.isBroken.Store(true)
 	other.seeds = []string{stale.PeerAddress}
@@ -61,6 +62,7 @@
 	require.True(t, second.log.has(recorder.EventBootstrapped))
 	status, _, _ := second.get(t, "/x/1")
 	require.Equal(t, http.StatusNotFound, status)
+	other.servers.set("i-1", registrar.Server{}, true)
 	other.servers.isBroken.Store(false)
 	eventually(t, "the store's servers are in force", func() bool {
 		status, _, _ := second.get(t, "/z/1")
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -34,8 +34,10 @@
 
 // collection is a stand-in of one kind of objects in the store.
 type collection[V any] struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// revision is that of the last change here, latest that of the whole store.
 	revision uint64
+	latest   *atomic.Uint64
 	items    map[string]follower.Item[V]
 	changed  chan struct{}
 	// listable is closed when the collection may be listed.
@@ -44,12 +46,12 @@
 	cuts int
 	// isGone says that the history is lost for the next watch.
 	isGone bool
-	// isBroken lets listings fail.
+	// isBroken lets every call fail.
 	isBroken atomic.Bool
 }
 
-func newCollection[V any]() *collection[V] {
-	c := &collection[V]{items: map[string]follower.Item[V]{}, changed: make(chan struct{}), listable: make(chan struct{})}
+func newCollection[V any](latest *atomic.Uint64) *collection[V] {
+	c := &collection[V]{revision: 1, latest: latest, items: map[string]follower.Item[V]{}, changed: make(chan struct{}), listable: make(chan struct{})}
 	close(c.listable)
 	return c
 }
@@ -57,7 +59,7 @@
 func (c *collection[V]) set(name string, value V, removed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision++
+	c.revision = c.latest.Add(1)
 	c.items[name] = follower.Item[V]{Name: name, Revision: c.revision, Removed: removed, Value: value}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -70,6 +72,15 @@
 	c.cuts++
 }
 
+// breakOff fails the waiting watches and every call from now on.
+func (c *collection[V]) breakOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isBroken.Store(true)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // loseHistory ends the waiting watches, and the next one learns that changes
 // were lost.
 func (c *collection[V]) loseHistory() {
@@ -105,7 +116,7 @@
 			items = append(items, item)
 		}
 	}
-	return items, c.revision, c.changed
+	return items, c.latest.Load(), c.changed
 }
 
 func (c *collection[V]) List(ctx context.Context) ([]follower.Item[V], uint64, error) {
@@ -127,6 +138,9 @@
 	c.mu.Unlock()
 	for {
 		gone, cuts := c.takeGone()
+		if c.isBroken.Load() {
+			return nil, 0, errLost
+		}
 		if gone {
 			return nil, 0, &follower.HistoryGoneError{Cause: errLost}
 		}
@@ -161,14 +175,30 @@
 }
 
 func newStore() *store {
+	latest := &atomic.Uint64{}
+	latest.Store(1)
+	return newStoreAt(latest)
+}
+
+// newStoreAt returns a store whose revisions go on from those of another one: the
+// same store, as an instance sees it that it answers differently.
+func newStoreAt(latest *atomic.Uint64) *store {
 	return &store{
-		servers:        newCollection[registrar.Server](),
-		configurations: newCollection[router.Configuration](),
-		evacuations:    newCollection[registrar.Evacuation](),
-		instances:      newCollection[namer.Instance](),
+		servers:        newCollection[registrar.Server](latest),
+		configurations: newCollection[router.Configuration](latest),
+		evacuations:    newCollection[registrar.Evacuation](latest),
+		instances:      newCollection[namer.Instance](latest),
 	}
 }
 
+// breakOff lets every call fail from now on.
+func (s *store) breakOff() {
+	s.servers.breakOff()
+	s.configurations.breakOff()
+	s.evacuations.breakOff()
+	s.instances.breakOff()
+}
+
 func (s *store) Register(_ context.Context, i namer.Instance) error {
 	s.instances.set(i.ID, i, false)
 	return nil
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -9,6 +9,7 @@
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/replicator"
 	"github.com/pollencrank/pollencrank/router"
 )
 
@@ -26,40 +27,101 @@
 	renewalPause = time.Second
 )
 
-// newFollows makes the loops that follow the store. That of the configuration
-// is the one that notices outages.
+// newFollows makes the copies of the store's collections, the loops that read
+// them from the store, and what decides whether these must run. The loop of the
+// configuration is the one that notices outages.
 func (h *Hoster) newFollows() {
 	log := h.config.Log
-	h.handlers = handlers{
-		servers:     &preliminary[registrar.Server]{Handler: serverHandler{Handler: h.registrar.Servers(), h: h}},
-		evacuations: &preliminary[registrar.Evacuation]{Handler: h.registrar.Evacuations()},
-		instances:   &preliminary[namer.Instance]{Handler: h.roster},
-	}
+	h.state = replicator.NewState(replicator.Handlers{
+		Servers:        serverHandler{Handler: h.registrar.Servers(), h: h},
+		Configurations: configurationHandler{h},
+		Evacuations:    h.registrar.Evacuations(),
+		Instances:      h.roster,
+	})
 	h.follows.configurations = follower.New(follower.Config[router.Configuration]{
-		Name: "configuration", Source: h.config.Configurations, Handler: configurationHandler{h},
+		Name: "configuration", Source: h.config.Configurations, Target: h.state.Configurations,
 		Wait: shortWait, Gather: shortGather,
-		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
+		OnContact: h.contactChanged, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.servers = follower.New(follower.Config[registrar.Server]{
-		Name: "servers", Source: h.config.Servers, Handler: h.handlers.servers,
+		Name: "servers", Source: h.config.Servers, Target: h.state.Servers,
 		Wait: longWait, Gather: longGather,
-		OnLost: h.storeLost, OnRegained: h.storeRegained, OnHistoryGone: h.renewWatches, Log: log,
+		OnContact: h.contactChanged, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.evacuations = follower.New(follower.Config[registrar.Evacuation]{
-		Name: "evacuations", Source: h.config.Evacuations, Handler: h.handlers.evacuations,
+		Name: "evacuations", Source: h.config.Evacuations, Target: h.state.Evacuations,
 		Wait: longWait, Gather: shortGather, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.follows.instances = follower.New(follower.Config[namer.Instance]{
-		Name: "instances", Source: h.config.Instances, Handler: h.handlers.instances,
-		Wait: longWait, Gather: longGather, OnHistoryGone: h.renewWatches, Log: log,
+		Name: "instances", Source: h.config.Instances, Target: h.state.Instances,
+		Wait: longWait, Gather: longGather,
+		OnContact: h.contactChanged, OnHistoryGone: h.renewWatches, Log: log,
+	})
+	h.replicator = replicator.New(replicator.Config{
+		Self:         h.config.Self,
+		State:        h.state,
+		Store:        storeAccess{h},
+		Peers:        replicator.NewClient(h.config.Self.ID, h.peers),
+		Relays:       h.roster.relays,
+		IsFirstStart: h.roster.isFirstStart,
+		IsReady:      h.isReady,
+		Seeds:        h.config.Seeds,
+		OnStore:      h.storeChanged,
+		Log:          log,
 	})
 }
 
 func (h *Hoster) followStore() {
+	// What else is asked is decided once it is known which others there are.
+	storeAccess{h}.Watch(replicator.WatchInstances)
 	h.goUntilStopped(h.follows.configurations.Run)
 	h.goUntilStopped(h.follows.servers.Run)
 	h.goUntilStopped(h.follows.evacuations.Run)
 	h.goUntilStopped(h.follows.instances.Run)
+	h.goUntilStopped(h.replicator.Run)
+}
+
+// storeAccess is this instance's own access to the store.
+type storeAccess struct{ h *Hoster }
+
+// watcher is a loop that follows a collection.
+type watcher interface {
+	Pause()
+	Resume()
+}
+
+// Watch implements replicator.Store.
+func (s storeAccess) Watch(watching replicator.Watching) {
+	set(s.h.follows.instances, watching != replicator.WatchNothing)
+	set(s.h.follows.configurations, watching == replicator.WatchAll)
+	set(s.h.follows.servers, watching == replicator.WatchAll)
+	set(s.h.follows.evacuations, watching == replicator.WatchAll)
+}
+
+func set(w watcher, isWatching bool) {
+	if isWatching {
+		w.Resume()
+		return
+	}
+	w.Pause()
+}
+
+// Renew implements replicator.Store.
+func (s storeAccess) Renew() { s.h.renewWatches() }
+
+// Contact implements replicator.Store.
+func (s storeAccess) Contact() replicator.Contact {
+	var contact replicator.Contact
+	for _, f := range []interface {
+		IsFailing() bool
+		AnsweredAt() time.Time
+	}{s.h.follows.configurations, s.h.follows.servers, s.h.follows.instances} {
+		contact.IsFailing = contact.IsFailing || f.IsFailing()
+		if at := f.AnsweredAt(); at.After(contact.AnsweredAt) {
+			contact.AnsweredAt = at
+		}
+	}
+	return contact
 }
 
 // goUntilStopped runs a loop whose end with the instance is no fault.
@@ -73,15 +135,22 @@
 	})
 }
 
-func (h *Hoster) storeLost() {
-	h.storeIsLost.Store(true)
-	h.registrar.StoreLost()
+// contactChanged notes that a watch has failed, or succeeds again. A store that
+// is back may have forgotten the other watches.
+func (h *Hoster) contactChanged() {
+	if !(storeAccess{h}).Contact().IsFailing {
+		h.renewWatches()
+	}
+	h.replicator.Wake()
 }
 
-func (h *Hoster) storeRegained() {
-	h.storeIsLost.Store(false)
+// storeChanged notes that there is no sign of the store any more, or again.
+func (h *Hoster) storeChanged(isLost bool) {
+	if isLost {
+		h.registrar.StoreLost()
+		return
+	}
 	h.registrar.StoreRegained()
-	h.renewWatches()
 }
 
 // renewWatches begins every watch anew, after an outage or a loss of history in
@@ -123,7 +192,6 @@
 		c.h.table.Store(table)
 		c.h.splitter.Keep(table)
 		c.h.noteConfigured()
-		c.h.wakeRegister()
 		c.h.config.Log.Info("a configuration is in force", recorder.EventConfigurationInForce.Attr(),
 			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)))
 	}
@@ -140,5 +208,14 @@
 	s.Handler.Reset(items)
 	s.h.hasServers.Store(true)
 	s.h.noteConfigured()
-	s.h.wakeRegister()
+}
+
+// noteConfigured notes that the instance can serve callers from now on.
+func (h *Hoster) noteConfigured() {
+	if h.table.Load() != nil && h.hasServers.Load() {
+		h.configuredOnce.Do(func() {
+			close(h.isConfigured)
+			h.config.Log.Info("the instance serves callers", recorder.EventReady.Attr())
+		})
+	}
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -32,6 +32,7 @@
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/relayer"
+	"github.com/pollencrank/pollencrank/replicator"
 	"github.com/pollencrank/pollencrank/router"
 	"github.com/pollencrank/pollencrank/warmer"
 )
@@ -117,8 +118,11 @@
 	idles     *relayer.IdleCloser
 	prober    *prober.Prober
 	roster    *roster
-	follows   follows
-	handlers  handlers
+	// state is what is known of the store's collections, replicator what keeps it
+	// up to date.
+	state      *replicator.State
+	replicator *replicator.Replicator
+	follows    follows
 	// peers is the client for calls to other instances.
 	peers *http.Client
 	// isConfigured is closed once the instance can serve callers.
@@ -126,9 +130,8 @@
 	configuredOnce sync.Once
 	startedAt      time.Time
 
-	hasServers  atomic.Bool
-	isStopping  atomic.Bool
-	storeIsLost atomic.Bool
+	hasServers atomic.Bool
+	isStopping atomic.Bool
 	// renewedAt is when the watches were last begun anew.
 	renewedAt atomic.Pointer[time.Time]
 	// bounds are the figures in force.
@@ -145,13 +148,6 @@
 	instances      *follower.Follower[namer.Instance]
 }
 
-// handlers take what the loops learn, and before that what other instances know.
-type handlers struct {
-	servers     *preliminary[registrar.Server]
-	evacuations *preliminary[registrar.Evacuation]
-	instances   *preliminary[namer.Instance]
-}
-
 // New assembles an instance.
 func New(config Config) *Hoster {
 	h := &Hoster{
@@ -173,8 +169,9 @@
 	h.gossip = &gossip{client: h.peers, peers: h.roster.peers, log: config.Log}
 	h.prober = prober.New(prober.Config{
 		Self:     config.Self.ID,
-		Ask:      asker{h.peers}.ask,
+		Ask:      h.askState,
 		OnDead:   h.removeDead,
+		Domain:   config.Self.FailureDomain,
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
@@ -252,7 +249,6 @@
 	h.tomb.Go(h.register)
 	h.tomb.Go(h.sweep)
 	h.goUntilStopped(h.prober.Run)
-	h.goUntilStopped(h.bootstrap)
 	h.tomb.Go(h.trustStore)
 	select {
 	case <-h.tomb.Dying():
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/recorder"
@@ -22,8 +23,13 @@
 	// confirmed are those that look-ups name.
 	confirmed atomic.Pointer[[]namer.Instance]
 
-	mu     sync.Mutex
-	listed map[string]listedInstance
+	// wasFresh says that the first listing showed no instance that had run for a
+	// while.
+	wasFresh atomic.Bool
+
+	mu       sync.Mutex
+	isListed bool
+	listed   map[string]listedInstance
 }
 
 type listedInstance struct {
@@ -42,6 +48,10 @@
 func (r *roster) Reset(items []follower.Item[namer.Instance]) {
 	r.mu.Lock()
 	clear(r.listed)
+	if !r.isListed {
+		r.isListed = true
+		r.wasFresh.Store(!slices.ContainsFunc(items, r.isOlder))
+	}
 	r.mu.Unlock()
 	r.Apply(items)
 }
@@ -70,6 +80,39 @@
 	}
 }
 
+// togetherTime is how long before an instance others may have started that start
+// together with it. Incarnations are times in nanoseconds.
+const togetherTime = 3 * time.Second
+
+// isOlder reports whether an instance started long before this one.
+func (r *roster) isOlder(item follower.Item[namer.Instance]) bool {
+	return item.Value.Incarnation+uint64(togetherTime) < r.h.config.Self.Incarnation
+}
+
+// isFirstStart reports whether the fleet has just started with this instance.
+func (r *roster) isFirstStart() bool { return r.wasFresh.Load() }
+
+// relays returns the live instances of this one's failure domain, with this one,
+// in the order in which they watch the store for the others: the most capable
+// ones first.
+func (r *roster) relays() []namer.Instance {
+	self := r.h.config.Self
+	relays := slices.DeleteFunc(slices.Clone(*r.serving.Load()), func(i namer.Instance) bool {
+		return i.FailureDomain != self.FailureDomain
+	})
+	slices.SortFunc(relays, func(a, b namer.Instance) int {
+		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+			return c
+		}
+		scoreOfA, scoreOfB := pollencrank.RendezvousScore(self.FailureDomain, a.ID), pollencrank.RendezvousScore(self.FailureDomain, b.ID)
+		if c := cmp.Compare(scoreOfB, scoreOfA); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return relays
+}
+
 // publish works out which instances take requests.
 func (r *roster) publish() {
 	r.mu.Lock()
@@ -93,15 +136,19 @@
 	}
 	r.h.warmer.SetInstances(ids)
 	r.h.budgets.SetInstances(max(len(r.listed), len(ids)))
+	r.h.replicator.Wake()
 }
 
-// isUnconfirmed reports whether an instance may be one of those that started
-// together with this one and are not up yet.
+// isUnconfirmed reports whether an instance cannot serve callers, or may be one
+// of those that started together with this one and are not up yet.
 func (r *roster) isUnconfirmed(i namer.Instance) bool {
-	if i.ID == r.h.config.Self.ID || time.Since(r.h.startedAt) > confirmTime {
+	if i.ID == r.h.config.Self.ID {
 		return false
 	}
-	return !r.h.prober.HasAnswered(i)
+	if r.h.prober.IsUnready(i) {
+		return true
+	}
+	return time.Since(r.h.startedAt) <= confirmTime && !r.h.prober.HasAnswered(i)
 }
 
 // peers returns the other instances that take requests.
@@ -128,7 +175,7 @@
 // it was written anew meanwhile.
 func (h *Hoster) removeDead(ctx context.Context, i namer.Instance) {
 	revision, known := h.roster.revisionOf(i)
-	if !known || h.storeIsLost.Load() {
+	if !known || h.replicator.IsLost() {
 		return
 	}
 	if err := h.config.Registry.Remove(ctx, i.ID, revision); err != nil {
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -13,12 +14,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/uptrace/bunrouter"
 
-	"github.com/pollencrank/pollencrank/bootstrapper"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/prober"
 	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/replicator"
 )
 
 const (
@@ -143,8 +144,19 @@
 	Incarnation uint64 `json:"incarnation,string"`
 	IsStopping  bool   `json:"isStopping"`
 	IsReady     bool   `json:"isReady"`
+	// Known are the revisions of the newest items of the store's collections.
+	Known peerPositions `json:"known"`
 }
 
+// peerPositions are replicator.Positions.
+type peerPositions struct {
+	Servers        uint64 `json:"servers,string"`
+	Configurations uint64 `json:"configurations,string"`
+	Evacuations    uint64 `json:"evacuations,string"`
+	Instances      uint64 `json:"instances,string"`
+}
+
+// peerHandler answers other instances.
 func (h *Hoster) peerHandler() http.Handler {
 	routes := bunrouter.New()
 	routes.GET(peerPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
@@ -152,16 +164,9 @@
 			Incarnation: h.config.Self.Incarnation,
 			IsStopping:  h.isStopping.Load(),
 			IsReady:     h.isReady(),
+			Known:       peerPositions(h.state.ChangedAt()),
 		})
 	})
-	routes.GET(snapshotPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
-		snapshot, ok := h.snapshot()
-		if !ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return nil
-		}
-		return bootstrapper.Encode(w, snapshot)
-	})
 	routes.POST(suspectsPath, func(w http.ResponseWriter, r bunrouter.Request) error {
 		records, err := readSuspects(r.Body)
 		if err != nil {
@@ -172,22 +177,26 @@
 		h.isolator.Learn(records, time.Now())
 		return nil
 	})
-	return routes
+	all := http.NewServeMux()
+	all.Handle("/", routes)
+	all.Handle(h.replicator.Handler())
+	return all
 }
 
-// asker asks other instances for their state.
-type asker struct{ client *http.Client }
-
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout}}
 }
 
-func (a asker) ask(ctx context.Context, i namer.Instance) (prober.State, error) {
+// maxStateBytes bounds what an instance says of its state.
+const maxStateBytes = 4 << 10
+
+// askState asks another instance for its state, and learns how far it knows.
+func (h *Hoster) askState(ctx context.Context, i namer.Instance) (prober.State, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.PeerAddress+peerPath, nil)
 	if err != nil {
 		return prober.State{}, err
 	}
-	response, err := a.client.Do(request)
+	response, err := h.peers.Do(request)
 	if err != nil {
 		return prober.State{}, err
 	}
@@ -196,10 +205,11 @@
 		return prober.State{}, fmt.Errorf("instance %s: status %d", i.ID, response.StatusCode)
 	}
 	var state peerState
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
 		return prober.State{}, fmt.Errorf("instance %s: %w", i.ID, err)
 	}
-	return prober.State(state), nil
+	h.replicator.Heard(i, replicator.Positions(state.Known))
+	return prober.State{Incarnation: state.Incarnation, IsStopping: state.IsStopping, IsReady: state.IsReady}, nil
 }
 
 func metricsHandler() http.Handler {
@@ -236,7 +246,9 @@
 	h.sender.KeepAddresses(func(address string) bool { return h.registrar.At(address) != nil })
 }
 
-// register writes the instance's own entry whenever the store lacks it.
+// register writes the instance's own entry whenever the store lacks it. It does
+// so before the instance can serve callers, because the instances of a fleet that
+// starts choose their relays among those that they see.
 func (h *Hoster) register() error {
 	ctx := h.tomb.Context(context.Background())
 	for {
@@ -245,13 +257,11 @@
 			return nil
 		case <-h.registerNow:
 		}
-		for h.isReady() && !h.roster.isRegistered() {
+		for !h.isStopping.Load() && !h.roster.isRegistered() {
 			pause := registerConfirmPause
 			if err := h.config.Registry.Register(ctx, h.config.Self); err != nil {
 				pause = registerRetryPause
 				h.config.Log.Warn("the instance's entry was not written", recorder.EventRegistrationFailed.Attr(), slog.Any("error", err))
-			} else {
-				h.config.Log.Info("the instance serves callers", recorder.EventReady.Attr())
 			}
 			select {
 			case <-h.tomb.Dying():
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -30,6 +30,7 @@
 	h.isStopping.Store(true)
 	h.relayer.Stop()
 	h.roster.publish()
+	h.replicator.Close()
 	h.config.Log.Info("a planned stop begins", recorder.EventStopping.Attr(), slog.Int("inFlight", h.relayer.InFlight()))
 	h.leave(killAt)
 	sleepUntil(refuseAt)
--- a/namer/namer.go
+++ b/namer/namer.go
@@ -31,6 +31,9 @@
 	Region        string
 	CallerAddress string
 	PeerAddress   string
+	// Capacity is how much the instance can carry, relative to others. Zero
+	// means that it is not known.
+	Capacity float64
 }
 
 // Caller is where a look-up came from.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -59,12 +60,14 @@
 type Config struct {
 	// Self is the ID of this instance.
 	Self string
+	// Domain is its failure domain.
+	Domain string
 	// Ask asks an instance for its state.
 	Ask func(ctx context.Context, instance namer.Instance) (State, error)
 	// OnDead is told of instances that do not answer, or that stop.
 	OnDead func(ctx context.Context, instance namer.Instance)
-	// OnChange is told whenever the set of the dead has changed, and when an
-	// instance answers for the first time.
+	// OnChange is told whenever the set of the dead has changed, when an instance
+	// answers for the first time, and when it can serve callers or not any more.
 	OnChange func()
 	Log      *slog.Logger
 }
@@ -77,7 +80,8 @@
 	instances []namer.Instance
 	misses    map[string]int
 	dead      map[string]uint64
-	// answeredBy are the instances that have answered at least once.
+	// answeredBy are the instances that have answered at least once, and whether
+	// they could serve callers when they last did.
 	answeredBy map[string]bool
 	// firstSet wakes the loop when the instances are first known.
 	firstSet chan struct{}
@@ -135,7 +139,16 @@
 func (p *Prober) HasAnswered(i namer.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.answeredBy[i.ID]
+	_, hasAnswered := p.answeredBy[i.ID]
+	return hasAnswered
+}
+
+// IsUnready reports whether an instance has said that it cannot serve callers.
+func (p *Prober) IsUnready(i namer.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isReady, hasAnswered := p.answeredBy[i.ID]
+	return hasAnswered && !isReady
 }
 
 // IsDead reports whether an incarnation of an instance counts as dead.
@@ -186,7 +199,26 @@
 			break
 		}
 	}
-	return asked
+	return p.withDistant(asked)
+}
+
+// withDistant adds an instance of another failure domain, drawn anew each time:
+// what a whole domain misses shows only elsewhere. The lock is held.
+func (p *Prober) withDistant(asked []namer.Instance) []namer.Instance {
+	isAsked := map[string]bool{}
+	for _, i := range asked {
+		isAsked[i.ID] = true
+	}
+	var distant []namer.Instance
+	for _, i := range p.instances {
+		if _, isDead := p.dead[i.ID]; i.FailureDomain != p.config.Domain && !isAsked[i.ID] && !isDead {
+			distant = append(distant, i)
+		}
+	}
+	if len(distant) == 0 {
+		return asked
+	}
+	return append(asked, distant[rand.IntN(len(distant))])
 }
 
 func (p *Prober) ask(ctx context.Context, i namer.Instance) {
@@ -197,21 +229,21 @@
 		return
 	}
 	if err == nil && state.isServing(i) {
-		p.answered(i)
+		p.answered(i, state.IsReady)
 		return
 	}
 	p.missed(ctx, i, err == nil && state.IsStopping)
 }
 
-func (p *Prober) answered(i namer.Instance) {
+func (p *Prober) answered(i namer.Instance, isReady bool) {
 	p.mu.Lock()
 	delete(p.misses, i.ID)
 	_, wasDead := p.dead[i.ID]
 	delete(p.dead, i.ID)
-	isFirst := !p.answeredBy[i.ID]
-	p.answeredBy[i.ID] = true
+	wasReady, hasAnswered := p.answeredBy[i.ID]
+	p.answeredBy[i.ID] = isReady
 	p.mu.Unlock()
-	if wasDead || isFirst {
+	if wasDead || !hasAnswered || wasReady != isReady {
 		p.config.OnChange()
 	}
 }
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -65,6 +65,8 @@
 	EventServerGone            Event = 1914
 	EventBootstrapped          Event = 1915
 	EventPartUnreadable        Event = 1916
+	EventRelayLost             Event = 1917
+	EventCaughtUp              Event = 1918
 )
 
 // Description says what an event means. It is the text of docs/EVENTS.md.
@@ -125,6 +127,8 @@
 		{EventServerGone, slog.LevelInfo, "A backend server's entry is gone; it gets no work."},
 		{EventBootstrapped, slog.LevelWarn, "The store does not answer; the instance starts with what another instance knows."},
 		{EventPartUnreadable, slog.LevelWarn, "A part of the configuration cannot be read; what depends on it is refused or served with the greatest care."},
+		{EventRelayLost, slog.LevelInfo, "The relay that the instance followed broke off, is silent or has lost the store; another one is followed."},
+		{EventCaughtUp, slog.LevelInfo, "Another instance has known more than this one for a while; the rest is fetched from it."},
 	}
 }
 
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -186,4 +186,3 @@
 	response, _ := readAnswer(t, reader)
 	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
 }
-
