--- a/follower/follower.go
+++ b/follower/follower.go
@@ -35,8 +35,8 @@
 	// each further one up to maxRetryPause.
 	firstRetryPause = 100 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
-	// recoveryWait is the wait of a watch after a failed call: a short one shows
-	// soon whether the store answers again.
+	// recoveryWait is the wait of a watch after a failed call or a pause: a short
+	// one shows soon whether the store answers.
 	recoveryWait = 100 * time.Millisecond
 )
 
@@ -199,9 +199,12 @@
 // Run follows the collection until ctx ends.
 func (f *Follower[V]) Run(ctx context.Context) error {
 	mustList, failures := false, 0
+	// isDoubtful says that it is not known whether the store answers.
+	isDoubtful := false
 	for ctx.Err() == nil {
 		if resumed := f.pausing(); resumed != nil {
 			failures = 0
+			isDoubtful = true
 			await(ctx, resumed)
 			continue
 		}
@@ -209,12 +212,12 @@
 		// A first listing may take long and is never forgotten without a failure.
 		isFirst := !isKnown && failures == 0
 		stepCtx, end := f.interruptible(ctx, !isFirst)
-		err := f.step(stepCtx, mustList || !isKnown, failures)
+		err := f.step(stepCtx, mustList || !isKnown, isDoubtful)
 		switch {
 		case err == nil:
 			end()
 			f.answered(failures)
-			mustList, failures = false, 0
+			mustList, failures, isDoubtful = false, 0, false
 		case errors.Is(context.Cause(stepCtx), errInterrupted):
 			// The next call is made at once.
 		case isHistoryGone(err):
@@ -226,6 +229,7 @@
 		default:
 			f.failed(ctx, failures, err)
 			failures++
+			isDoubtful = true
 			f.pause(stepCtx, failures)
 		}
 		end()
@@ -259,7 +263,7 @@
 }
 
 // step performs one call and hands over what it brought.
-func (f *Follower[V]) step(ctx context.Context, mustList bool, failures int) error {
+func (f *Follower[V]) step(ctx context.Context, mustList, isDoubtful bool) error {
 	if mustList {
 		items, position, err := f.config.Source.List(ctx)
 		if err != nil {
@@ -268,7 +272,7 @@
 		return f.config.Target.Take(Change[V]{Position: position, IsWhole: true, Items: items})
 	}
 	wait := f.config.Wait
-	if failures > 0 {
+	if isDoubtful {
 		wait = recoveryWait
 	}
 	after, _ := f.config.Target.Position()
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -316,7 +316,7 @@
 // isAnswered reports whether the store answers this instance's own watches. The
 // lock is held.
 func (r *Replicator) isAnswered(contact Contact) bool {
-	return r.watching != WatchNothing && !contact.IsFailing && contact.AnsweredAt.After(r.watchedAt)
+	return r.watching != WatchNothing && !contact.IsFailing && !contact.AnsweredAt.Before(r.watchedAt)
 }
 
 // confirmedAt returns when there was a last sign of the store, from this
