test: two frozen relays, a dark relay at the start; silence and lost contact are one time

Cause: a removal of the bound on silence went unnoticed, because a silent relay confirms nothing either. Change: one time since the last sign of the store instead of two; gossip in the tests needs a known fleet.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -32,10 +32,9 @@
 const (
 	// heartbeat is the pause between two messages to a follower without news.
 	heartbeat = 500 * time.Millisecond
-	// silence is how long a relay may send nothing.
-	silence = 1300 * time.Millisecond
-	// staleAfter is how long ago a relay may have had its last sign of the store.
-	staleAfter = 1500 * time.Millisecond
+	// staleAfter is how long ago the last sign of the store may be that was heard
+	// through a relay: a relay that is silent gives none.
+	staleAfter = 1400 * time.Millisecond
 	// avoidance is how long a relay is not followed that was silent or out of
 	// touch with the store. Another one is, meanwhile.
 	avoidance = 3 * time.Second
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -80,13 +80,14 @@
 		"restarted":         {func(_ *world, r *node) { r.restart() }, false},
 		"stopped":           {func(_ *world, r *node) { r.now().Close() }, false},
 		"killed with next":  {func(w *world, r *node) { r.kill(); w.nodes[1].kill() }, true},
+		"frozen with next":  {func(w *world, r *node) { w.with(func() { r.isFrozen, w.nodes[1].isFrozen = true, true }) }, true},
 		"frozen, next dead": {func(w *world, r *node) { w.with(func() { r.isFrozen = true }); w.nodes[1].kill() }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, []int{5, 3}, func(t *testing.T, w *world) {
 				relay := w.nodes[0]
 				test.happens(w, relay)
-				in := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n.isDown || (test.othersOnly && n == relay) })
+				in := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n.isDown || n.isFrozen || (test.othersOnly && n == relay) })
 				requireNews(t, w, in...)
 				time.Sleep(10 * time.Second)
 				requireNews(t, w, in...)
@@ -147,6 +148,17 @@
 	})
 }
 
+// The relay of an instance that starts may be dark: it does not wait for it for
+// long, because it can serve nobody meanwhile.
+func TestAnInstanceThatStartsDoesNotWaitForADarkRelay(t *testing.T) {
+	inWorld(t, []int{3}, func(t *testing.T, w *world) {
+		w.with(func() { w.nodes[0].isFrozen = true })
+		w.nodes[1].restart()
+		time.Sleep(time.Second)
+		require.True(t, w.nodes[1].now().state.IsKnown())
+	})
+}
+
 // All lose power and start together, while some do not come back: who lives knows
 // everything soon, and the store is not asked by all for long.
 func TestAFleetThatStartsTogether(t *testing.T) {
--- a/replicator/stream.go
+++ b/replicator/stream.go
@@ -14,22 +14,30 @@
 	instance namer.Instance
 	cancel   context.CancelFunc
 	begunAt  time.Time
-	// heardAt is when the last message came, or the stream was begun.
-	heardAt time.Time
-	hasNews bool
-	// confirmedAt is when the relay last had a sign of the store.
+	hasNews  bool
+	// confirmedAt is when the relay last had a sign of the store, as far as it is
+	// heard.
 	confirmedAt time.Time
 }
 
 // isConfirmed reports whether the relay is heard and in touch with the store.
 func (s *stream) isConfirmed(now time.Time) bool {
-	return s.hasNews && now.Sub(s.heardAt) < silence && now.Sub(s.confirmedAt) < staleAfter
+	return s.hasNews && now.Sub(s.confirmedAt) < staleAfter
+}
+
+// isOver reports whether the relay has been silent, or out of touch with the
+// store, for too long.
+func (s *stream) isOver(now time.Time) bool {
+	if !s.hasNews {
+		return now.Sub(s.begunAt) >= staleAfter
+	}
+	return !s.isConfirmed(now)
 }
 
 // begin follows a relay. The lock is held.
 func (r *Replicator) begin(ctx context.Context, instance namer.Instance, now time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &stream{instance: instance, cancel: cancel, begunAt: now, heardAt: now}
+	s := &stream{instance: instance, cancel: cancel, begunAt: now}
 	r.streams[instance.ID] = s
 	go func() {
 		defer cancel()
@@ -45,7 +53,6 @@
 	now := time.Now()
 	r.mu.Lock()
 	wasConfirmed := s.isConfirmed(now)
-	s.heardAt = now
 	s.hasNews = true
 	s.confirmedAt = news.ConfirmedAt
 	isConfirmed := s.isConfirmed(now)
@@ -77,19 +84,16 @@
 	r.Wake()
 }
 
-// endSilentStreams gives up relays that send nothing, or that are out of touch
-// with the store. The lock is held.
+// endSilentStreams gives up relays that are of no use at present. The lock is held.
 func (r *Replicator) endSilentStreams(now time.Time) {
 	for id, s := range r.streams {
-		isSilent := now.Sub(s.heardAt) >= silence
-		isStale := s.hasNews && now.Sub(s.confirmedAt) >= staleAfter
-		if !isSilent && !isStale {
+		if !s.isOver(now) {
 			continue
 		}
 		r.drop(id)
 		r.avoided[id] = now.Add(avoidance)
 		r.config.Log.Info("a relay is not followed any more", recorder.EventRelayLost.Attr(),
-			slog.String("instance", id), slog.Bool("silent", isSilent), slog.Bool("storeLost", isStale))
+			slog.String("instance", id), slog.Bool("hasAnswered", s.hasNews))
 	}
 }
 
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -209,6 +209,9 @@
 }
 
 func (n *node) hear(other *node) {
+	if _, knowsFleet := n.now().state.Instances.Position(); !knowsFleet {
+		return
+	}
 	if other != n && n.mayReach(other) {
 		heard := other.now()
 		n.now().Heard(heard.instance, heard.state.ChangedAt())
