--- /dev/null
+++ b/replicator/codec_test.go
@@ -0,0 +1,217 @@
+package replicator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/internal/newspb"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+// sender and receiver are the clocks of two instances.
+var (
+	senderNow   = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	receiverNow = senderNow.Add(-time.Hour)
+)
+
+// pass sends news from one instance to another.
+func pass(t require.TestingT, news News) News {
+	data, err := proto.Marshal(encode(news, senderNow))
+	require.NoError(t, err)
+	var m newspb.News
+	require.NoError(t, proto.Unmarshal(data, &m))
+	got, err := decode(&m, receiverNow)
+	require.NoError(t, err)
+	return got
+}
+
+func testRoute(name string) router.Route {
+	return router.Route{
+		Name: name, Host: "a.example", PathPrefix: "/" + name + "/", Kind: router.Upload, Timeout: time.Second,
+		LatencyObjective: 300 * time.Millisecond, Priority: 2, Shares: []router.Share{{Service: "parts", Weight: 3}, {Service: "old", Weight: 1}},
+		MaxAttempts: 2, HasAffinity: true, HomeRegions: []string{"north"},
+	}
+}
+
+func TestNewsArriveByTheReceiversClock(t *testing.T) {
+	news := News{
+		ConfirmedAt: senderNow.Add(-2 * time.Second),
+		IsReady:     true,
+		Servers: &follower.Change[registrar.Server]{After: 3, Position: 9, Items: []follower.Item[registrar.Server]{
+			{Name: "i-1", Revision: 4, Value: registrar.Server{
+				ID: "i-1", Service: "parts", Address: "10.0.0.1:80", FailureDomain: "north-a", Region: "north", Slots: 4, Incarnation: 17,
+				IsLeaving: true, ColdUntil: senderNow.Add(3 * time.Second),
+			}},
+			{Name: "i-2", Revision: 9, Removed: true},
+		}},
+		Evacuations: &follower.Change[registrar.Evacuation]{Position: 9, IsWhole: true, Items: []follower.Item[registrar.Evacuation]{
+			{Name: "north-a", Revision: 5, Value: registrar.Evacuation{FailureDomain: "north-a"}},
+		}},
+		Instances: &follower.Change[namer.Instance]{After: 1, Position: 9, Items: []follower.Item[namer.Instance]{
+			{Name: "entry-1", Revision: 6, Value: namer.Instance{
+				ID: "entry-1", Incarnation: 5, FailureDomain: "north-a", Region: "north", CallerAddress: "10.1.0.1:1", PeerAddress: "10.1.0.1:2",
+				Capacity: 0.32,
+			}},
+		}},
+		Configuration: &ConfigurationNews{
+			After: 2, Position: 9, Revision: 7, BaseVersion: 4, RemovedRoutes: []string{"r-0"},
+			Configuration: router.Configuration{
+				Version: 5, Routes: []router.Route{testRoute("r-1")},
+				Services: map[string]router.Service{
+					"parts": {Name: "parts", HealthPath: "/h", MaxConnections: 100, Warmup: 3 * time.Second, ColdRate: 6},
+				},
+				Limits: router.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3 * time.Second, IdleTimeout: 4 * time.Second},
+			},
+		},
+	}
+	got := pass(t, news)
+	want := news
+	want.ConfirmedAt = receiverNow.Add(-2 * time.Second)
+	servers := *news.Servers
+	servers.Items = append([]follower.Item[registrar.Server]{}, news.Servers.Items...)
+	servers.Items[0].Value.ColdUntil = receiverNow.Add(3 * time.Second)
+	want.Servers = &servers
+	require.Equal(t, want, got)
+}
+
+func newTestState() *State {
+	return NewState(Handlers{
+		Servers: discard[registrar.Server]{}, Configurations: discard[router.Configuration]{},
+		Evacuations: discard[registrar.Evacuation]{}, Instances: discard[namer.Instance]{},
+	})
+}
+
+type discard[V any] struct{}
+
+func (discard[V]) Reset([]follower.Item[V]) {}
+func (discard[V]) Apply([]follower.Item[V]) {}
+
+// Configurations of any kind follow each other at one instance; another one that
+// hears of them now and then always has the same routes, in whatever pieces they
+// travel.
+func TestConfigurationsTravelAsChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := newTestState(), newTestState()
+		var have Have
+		for version := uint64(1); version <= 12; version++ {
+			routes := []router.Route{}
+			for i := range 6 {
+				if !rapid.Bool().Draw(t, "present") {
+					continue
+				}
+				route := testRoute(fmt.Sprint("r-", i))
+				route.Priority = rapid.IntRange(0, 1).Draw(t, "priority")
+				routes = append(routes, route)
+			}
+			c := router.Configuration{Version: version, Routes: routes, Services: map[string]router.Service{}}
+			require.NoError(t, first.Configurations.Take(follower.Change[router.Configuration]{
+				Position: version + 1, IsWhole: true,
+				Items: []follower.Item[router.Configuration]{{Name: configurationName, Revision: version, Value: c}},
+			}))
+			if !rapid.Bool().Draw(t, "told") {
+				continue
+			}
+			news, next := first.Since(have)
+			have = next
+			require.NoError(t, second.Take(pass(t, news)))
+			got, _ := second.Configurations.Value(configurationName)
+			require.ElementsMatch(t, routes, got.Routes)
+			require.Equal(t, version, got.Version)
+			require.Equal(t, have.Version, second.Have().Version)
+		}
+	})
+}
+
+// A change against a version that the receiver does not have is not taken.
+func TestAChangeOfAnotherVersionIsNotTaken(t *testing.T) {
+	s := newTestState()
+	require.NoError(t, s.Take(News{Configuration: &ConfigurationNews{Position: 5, Configuration: router.Configuration{Version: 3}}}))
+	err := s.Take(News{Configuration: &ConfigurationNews{After: 5, Position: 6, BaseVersion: 4, Configuration: router.Configuration{Version: 5}}})
+	var base *BaseError
+	require.ErrorAs(t, err, &base)
+	require.EqualValues(t, 3, s.Have().Version)
+}
+
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	good := &newspb.Range{After: 1, Position: 2}
+	for name, m := range map[string]*newspb.News{
+		"no range":             {Servers: &newspb.ServerChange{}},
+		"backwards":            {Servers: &newspb.ServerChange{Range: &newspb.Range{After: 3, Position: 2}}},
+		"server without slots": {Servers: &newspb.ServerChange{Range: good, Servers: []*newspb.Server{{Id: "i", Service: "s", Address: "a", FailureDomain: "d"}}}},
+		"instance without id":  {Instances: &newspb.InstanceChange{Range: good, Instances: []*newspb.Instance{{CallerAddress: "a"}}}},
+		"route without path":   {Configuration: &newspb.ConfigurationChange{Range: good, Routes: []*newspb.Route{{Name: "r"}}}},
+		"route without service": {Configuration: &newspb.ConfigurationChange{Range: good, Routes: []*newspb.Route{{
+			Name: "r", PathPrefix: "/x/",
+		}}}},
+		"negative weight": {Configuration: &newspb.ConfigurationChange{Range: good, Routes: []*newspb.Route{{
+			Name: "r", PathPrefix: "/x/", Shares: []*newspb.Share{{Service: "s", Weight: -1}},
+		}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := decode(m, receiverNow)
+			require.ErrorIs(t, err, errMalformed)
+		})
+	}
+}
+
+// Instances of a later version say more, and know kinds of routes that this one
+// does not: nothing becomes less careful by it.
+func TestAMessageOfALaterVersion(t *testing.T) {
+	m := &newspb.News{Configuration: &newspb.ConfigurationChange{
+		Range: &newspb.Range{Position: 2, Whole: true}, Version: 1,
+		Routes: []*newspb.Route{{Name: "r", PathPrefix: "/x/", Kind: 99, Shares: []*newspb.Share{{Service: "s", Weight: 1}}}},
+	}}
+	data, err := proto.Marshal(m)
+	require.NoError(t, err)
+	// A field with a number that is not in use yet.
+	data = append(data, 0xfa, 0x3f, 0x02, 'h', 'i')
+	var later newspb.News
+	require.NoError(t, proto.Unmarshal(data, &later))
+	news, err := decode(&later, receiverNow)
+	require.NoError(t, err)
+	require.Equal(t, router.NonIdempotent, news.Configuration.Configuration.Routes[0].Kind)
+}
+
+// Times that nobody means do no harm.
+func TestTimesAreBounded(t *testing.T) {
+	for _, d := range []*durationpb.Duration{nil, {Seconds: -5}, {Seconds: 1 << 62}, {Nanos: -1 << 31}} {
+		got := span(d)
+		require.GreaterOrEqual(t, got, time.Duration(0))
+		require.LessOrEqual(t, got, longAgo)
+	}
+}
+
+// FuzzNews feeds bytes of another instance to a state: they are taken or refused.
+func FuzzNews(f *testing.F) {
+	for _, m := range []*newspb.News{
+		{}, {Servers: &newspb.ServerChange{Range: &newspb.Range{Position: 3, Whole: true}}},
+		{Configuration: &newspb.ConfigurationChange{Range: &newspb.Range{Position: 3}, BaseVersion: 1, Version: 2}},
+	} {
+		data, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m newspb.News
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		news, err := decode(&m, receiverNow)
+		if err != nil {
+			return
+		}
+		s := newTestState()
+		if s.Take(news) == nil {
+			_, _ = s.Since(Have{})
+		}
+	})
+}
--- /dev/null
+++ b/router/difference_test.go
@@ -0,0 +1,40 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/pollencrank/pollencrank/internal/seeded"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+func drawRoutes(t *rapid.T, label string) []router.Route {
+	var routes []router.Route
+	for i := range 8 {
+		if rapid.Bool().Draw(t, label) {
+			routes = append(routes, router.Route{Name: fmt.Sprint("r-", i), Priority: rapid.IntRange(0, 2).Draw(t, label)})
+		}
+	}
+	return routes
+}
+
+// What Difference takes apart, Merge puts together again.
+func TestMergeUndoesDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, next := drawRoutes(t, "base"), drawRoutes(t, "next")
+		changed, removed, ok := router.Difference(base, next)
+		require.True(t, ok)
+		require.ElementsMatch(t, next, router.Merge(base, changed, removed))
+	})
+}
+
+func TestRoutesWithOneNameHaveNoDifference(t *testing.T) {
+	twice := []router.Route{{Name: "r", PathPrefix: "/a/"}, {Name: "r", PathPrefix: "/b/"}}
+	_, _, ok := router.Difference(nil, twice)
+	require.False(t, ok)
+	_, _, ok = router.Difference(twice, nil)
+	require.False(t, ok)
+}
