feat: the choice of a server and of a route does not grow with the fleet or the configuration

Change: placer.Table remembers the first servers of objects (1,024 places of four), placements live as long as the servers stay the same, keys are hashes, requests about no object are spread by slots; routes are found by the lengths of their prefixes.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -21,18 +21,17 @@
 // choose returns the server for the next attempt of a call and the time in which
 // its answer is expected, or why there is none.
 func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (*registrar.Backend, time.Duration, error) {
-	order := f.order(call)
-	work := f.work.Of(workKey(call), initialWork(call))
-	refused := map[*registrar.Backend]bool{}
+	work := f.work.Of(call.work(), initialWork(call))
+	var refused []*registrar.Backend
 	for {
-		backends, options := f.options(call, order, refused, now)
-		choice, ok := selector.Choose(options, work)
+		options := f.options(call, refused, now)
+		choice, ok := selector.Choose(options.known[:options.count], work)
 		if !ok {
 			return nil, 0, refusal(pollencrank.ReasonNoServer, work, now, "no server of %s may get the request", call.service.Name)
 		}
-		backend := backends[choice.Index]
-		if backend.IsCold(now) && !f.config.Warmer.Take(backend.Server().ID, call.service.ColdRate, now) {
-			refused[backend] = true
+		backend := options.backends[choice.Index]
+		if backend.IsCold(now) && !f.config.Warmer.Take(backend.ID(), call.service.ColdRate, now) {
+			refused = append(refused, backend)
 			continue
 		}
 		if err := f.admit(call, backend, choice, now, attempt); err != nil {
@@ -70,57 +69,65 @@
 	return call.Route.LatencyObjective / initialWorkShare
 }
 
-// order returns the servers of the call's service that may serve it at all, in
-// the order in which they hold its object.
-func (f *Forwarder) order(call *Call) []*registrar.Backend {
-	all := f.config.Registrar.Backends(call.service.Name)
-	allowed := make([]*registrar.Backend, 0, len(all))
-	candidates := make([]placer.Candidate, 0, len(all))
-	for _, b := range all {
-		s := b.Server()
-		if !call.Route.AllowsRegion(s.Region) {
-			continue
-		}
-		allowed = append(allowed, b)
-		candidates = append(candidates, placer.Candidate{ID: s.ID, Region: s.Region, Slots: s.Slots})
+// options are the first usable servers of an object's order and what is known of
+// them.
+type options struct {
+	backends [copies]*registrar.Backend
+	known    [copies]selector.Option
+	count    int
+}
+
+// options looks among the servers that hold the call's object, and among all if
+// too few of those are usable.
+func (f *Forwarder) options(call *Call, refused []*registrar.Backend, now time.Time) options {
+	p := f.placements.of(call)
+	var buffer [placer.Remembered]int
+	var order []int
+	if call.isAboutObject() {
+		order = p.table.First(call.key, buffer[:0])
+	} else {
+		order = p.table.Spread(call.key, buffer[:0])
 	}
-	order := placer.Order(candidates, placer.Object{
-		Key:     call.objectKey(),
-		Region:  f.config.Region,
-		Regions: f.config.Regions,
-	})
-	ordered := make([]*registrar.Backend, len(order))
-	for i, index := range order {
-		ordered[i] = allowed[index]
+	var found options
+	f.collect(call, p, order, refused, now, &found)
+	if found.count < copies && len(p.backends) > placer.Remembered {
+		found = options{}
+		f.collect(call, p, p.table.All(call.key), refused, now, &found)
 	}
-	return ordered
+	return found
 }
 
-// options returns the first usable servers of the order and what is known of
-// them.
-func (f *Forwarder) options(call *Call, order []*registrar.Backend, refused map[*registrar.Backend]bool, now time.Time) ([]*registrar.Backend, []selector.Option) {
-	var backends []*registrar.Backend
-	var options []selector.Option
-	for i, b := range order {
-		if refused[b] || !b.IsUsable(now) || slices.Contains(call.tried, b) {
+// collect adds the usable servers of an order until there are enough.
+func (f *Forwarder) collect(call *Call, p *placement, order []int, refused []*registrar.Backend, now time.Time, found *options) {
+	for i, index := range order {
+		b := p.backends[index]
+		if slices.Contains(refused, b) || slices.Contains(call.tried, b) || !b.IsUsable(now) {
 			continue
 		}
-		server := b.Server()
 		health := b.Health(now)
-		backends = append(backends, b)
-		options = append(options, selector.Option{
-			Distance:     f.distance(server),
+		found.backends[found.count] = b
+		found.known[found.count] = selector.Option{
+			Distance:     f.config.Distances.To(p.places[index]),
 			Load:         b.Load(now),
-			Slots:        server.Slots,
+			Slots:        p.candidates[index].Slots,
 			Slowness:     health.Slowness,
 			FailureShare: health.FailureShare,
-			KnowsObject:  i == 0 || !call.Route.HasAffinity || f.memory.Knows(server.ID, call.objectKey(), now),
-		})
-		if len(options) == copies {
-			break
+			KnowsObject:  f.knows(call, b, i == 0, now),
+		}
+		found.count++
+		if found.count == copies {
+			return
 		}
 	}
-	return backends, options
+}
+
+// knows reports whether a server is believed to know the call's object. The first
+// one of the order gets the object from every instance.
+func (f *Forwarder) knows(call *Call, b *registrar.Backend, isFirst bool, now time.Time) bool {
+	if !call.Route.HasAffinity {
+		return true
+	}
+	return call.isAboutObject() && (isFirst || f.memory.Knows(b.ID(), call.key, now))
 }
 
 func (f *Forwarder) distance(s registrar.Server) time.Duration {
--- /dev/null
+++ b/forwarder/choose_bench_test.go
@@ -0,0 +1,53 @@
+package forwarder
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/limiter"
+	"github.com/pollencrank/pollencrank/placer"
+	"github.com/pollencrank/pollencrank/registrar"
+	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/warmer"
+)
+
+// BenchmarkChoose chooses the server of requests for a few hundred objects, by
+// the number of servers.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := registrar.New(registrar.Config{Log: slog.New(slog.DiscardHandler)})
+			var items []follower.Item[registrar.Server]
+			for i := range count {
+				region := []string{"north", "south", "west"}[i%3]
+				id := fmt.Sprintf("i-%010x", i)
+				items = append(items, follower.Item[registrar.Server]{Name: id, Value: registrar.Server{
+					ID: id, Service: "parts", Address: id, FailureDomain: region + "-a", Region: region, Slots: 5,
+				}})
+			}
+			servers.Servers().Reset(items)
+			f := New(Config{
+				Region: "north", Regions: 3, Registrar: servers, Warmer: warmer.New("entry-1"), Splitter: router.NewSplitter(),
+				Budgets: NewBudgets(limiter.WindowConfig{}, 1), Distances: NewDistances("north"),
+			})
+			route := &router.Route{Name: "r", HasAffinity: true, LatencyObjective: time.Second}
+			call := &Call{
+				Route: route, ObjectKey: "x", service: router.Service{Name: "parts"},
+				Request: &pollencrank.Request{Deadline: time.Now().Add(time.Hour)},
+			}
+			now := time.Now()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				call.key = placer.Key("parts", "x") + uint64(i%300)*0x9e3779b97f4a7c15
+				_, _, err := f.choose(call, now, 1)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/placer"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
@@ -75,14 +76,20 @@
 
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	config Config
-	work   *selector.WorkTimes
-	memory *selector.Memory
+	config     Config
+	work       *selector.WorkTimes
+	memory     *selector.Memory
+	placements *placements
 }
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, work: selector.NewWorkTimes(), memory: selector.NewMemory()}
+	return &Forwarder{
+		config:     config,
+		work:       selector.NewWorkTimes(),
+		memory:     selector.NewMemory(),
+		placements: &placements{config: config},
+	}
 }
 
 // Call is one request with the configuration that it is served under.
@@ -99,7 +106,9 @@
 	BodyFailure func() error
 
 	service router.Service
-	tried   []*registrar.Backend
+	// key is that of the object, or of the request if it is about none.
+	key   uint64
+	tried []*registrar.Backend
 }
 
 // Forward returns a server's answer. An error is a NotRunError if the request
@@ -109,6 +118,10 @@
 	call.service = call.Table.Services[name]
 	call.service.Name = name
 	call.Request.Workload = name
+	call.key = placer.Key(name, call.ObjectKey)
+	if !call.isAboutObject() {
+		call.key = placer.Key(name, call.Request.ID)
+	}
 	if err := f.refuseConvicted(call, time.Now()); err != nil {
 		return nil, err
 	}
@@ -269,12 +282,12 @@
 		backend.Failed(now)
 		return
 	}
-	key := workKey(call)
+	key := call.work()
 	work := max(took-f.distance(server), time.Millisecond)
 	usual := f.work.Of(key, work)
 	f.work.Observe(key, work)
-	if call.Route.HasAffinity {
-		f.memory.Learn(server.ID, call.objectKey(), now)
+	if call.isAboutObject() {
+		f.memory.Learn(server.ID, call.key, now)
 	}
 	if backend.Succeeded(float64(work)/float64(usual), now) {
 		backend.MarkCold(now.Add(call.service.Warmup))
@@ -288,7 +301,7 @@
 	}
 	var unknown *pollencrank.OutcomeUnknownError
 	if errors.As(err, &unknown) && unknown.Reason == pollencrank.ReasonDeadlinePassed {
-		usual := f.work.Of(workKey(call), initialWork(call))
+		usual := f.work.Of(call.work(), initialWork(call))
 		backend.TimedOut(float64(took)/float64(usual), now)
 		return
 	}
@@ -308,16 +321,14 @@
 	}
 }
 
-func workKey(call *Call) string { return call.Route.Name + "\x00" + call.service.Name }
-
-// objectKey is what requests are placed by.
-func (c *Call) objectKey() string {
-	if c.ObjectKey == "" || !c.Route.HasAffinity {
-		return c.Request.ID
-	}
-	return c.service.Name + "\x00" + c.ObjectKey
+// work names what the call's requests have in common.
+func (c *Call) work() selector.Work {
+	return selector.Work{Route: c.Route.Name, Service: c.service.Name}
 }
 
+// isAboutObject reports whether servers may know what the request is about.
+func (c *Call) isAboutObject() bool { return c.ObjectKey != "" && c.Route.HasAffinity }
+
 // refusal returns the refusal of a request that would be answered too late.
 func refusal(reason pollencrank.Reason, pause time.Duration, now time.Time, format string, args ...any) error {
 	err := pollencrank.NotRun(reason, format, args...)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -69,7 +69,7 @@
 
 const service = "parts"
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), told: make(chan isolator.Record, 1000)}
 	s.warmer.SetInstances([]string{"entry-1"})
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -70,6 +70,9 @@
 // Server returns what the platform says of the server.
 func (b *Backend) Server() Server { return *b.server.Load() }
 
+// ID returns the server's ID.
+func (b *Backend) ID() string { return b.server.Load().ID }
+
 // isSame reports whether s is the same start of the same server.
 func (b *Backend) isSame(s Server) bool {
 	known := b.server.Load()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -71,6 +71,7 @@
 
 // view is the servers that the store knows as serving. It is never changed.
 type view struct {
+	version   uint64
 	byService map[string][]*Backend
 	byID      map[string]*Backend
 	byAddress map[string]*Backend
@@ -97,6 +98,9 @@
 	return r.view.Load().byService[service]
 }
 
+// Version returns a number that grows with every change of the servers.
+func (r *Registrar) Version() uint64 { return r.view.Load().version }
+
 // Find returns the server with an ID that the store knows as serving, or nil.
 func (r *Registrar) Find(id string) *Backend { return r.view.Load().byID[id] }
 
@@ -190,7 +194,7 @@
 
 // rebuild publishes a new view. The lock is held.
 func (r *Registrar) rebuild() {
-	next := &view{byService: map[string][]*Backend{}, byID: map[string]*Backend{}, byAddress: map[string]*Backend{}}
+	next := &view{version: r.view.Load().version + 1, byService: map[string][]*Backend{}, byID: map[string]*Backend{}, byAddress: map[string]*Backend{}}
 	for id, b := range r.backends {
 		s := b.Server()
 		b.isEvacuated.Store(r.evacuated[s.FailureDomain])
--- a/router/router.go
+++ b/router/router.go
@@ -72,8 +72,21 @@
 	// Fault says why no request of the route can be served: a part of it that
 	// decides where or how often requests run could not be read.
 	Fault string
+
+	// homes are the HomeRegions as one text.
+	homes string
+}
+
+// Homes returns the HomeRegions as one text, to tell sets of them apart.
+func (r *Route) Homes() string {
+	if r.homes == "" && len(r.HomeRegions) > 0 {
+		return joinHomes(r.HomeRegions)
+	}
+	return r.homes
 }
 
+func joinHomes(regions []string) string { return strings.Join(regions, ",") }
+
 // AllowsRegion reports whether the route may be served in a region.
 func (r *Route) AllowsRegion(region string) bool {
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
@@ -111,27 +124,64 @@
 // Table is the routes of one configuration, arranged for look-ups.
 type Table struct {
 	Configuration
-	hosts map[string][]*Route
+	hosts map[string]*host
+}
+
+// host is the routes of one host.
+type host struct {
+	byPrefix map[string]*Route
+	// lengths are those of the prefixes, the longest first, each once.
+	lengths []int
 }
 
-// NewTable arranges the routes of a configuration.
+// NewTable arranges the routes of a configuration. Of several routes with the same
+// host and prefix, the one with the smallest name counts.
 func NewTable(configuration Configuration) *Table {
-	t := &Table{Configuration: configuration, hosts: map[string][]*Route{}}
+	t := &Table{Configuration: configuration, hosts: map[string]*host{}}
+	t.Routes = slices.Clone(configuration.Routes)
 	for i := range t.Routes {
 		route := &t.Routes[i]
-		t.hosts[route.Host] = append(t.hosts[route.Host], route)
+		route.homes = joinHomes(route.HomeRegions)
+		h := t.hosts[route.Host]
+		if h == nil {
+			h = &host{byPrefix: map[string]*Route{}}
+			t.hosts[route.Host] = h
+		}
+		if known := h.byPrefix[route.PathPrefix]; known == nil || route.Name < known.Name {
+			h.byPrefix[route.PathPrefix] = route
+		}
 	}
-	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	for _, h := range t.hosts {
+		h.measure()
 	}
 	return t
 }
 
+// measure notes the lengths of the prefixes.
+func (h *host) measure() {
+	known := map[int]bool{}
+	for prefix := range h.byPrefix {
+		known[len(prefix)] = true
+	}
+	for length := range known {
+		h.lengths = append(h.lengths, length)
+	}
+	slices.SortFunc(h.lengths, func(a, b int) int { return b - a })
+}
+
 // Match returns the route with the longest prefix of path on a host, or nil.
-// The host may carry a port.
-func (t *Table) Match(host, path string) *Route {
-	for _, route := range t.hosts[HostName(host)] {
-		if strings.HasPrefix(path, route.PathPrefix) {
+// The host may carry a port. It costs one look-up for each length of prefixes,
+// however many routes there are.
+func (t *Table) Match(name, path string) *Route {
+	h := t.hosts[HostName(name)]
+	if h == nil {
+		return nil
+	}
+	for _, length := range h.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route := h.byPrefix[path[:length]]; route != nil {
 			return route
 		}
 	}
--- a/selector/memory.go
+++ b/selector/memory.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pollencrank/pollencrank"
 )
 
 const (
@@ -25,12 +27,12 @@
 // NewMemory returns an empty Memory.
 func NewMemory() *Memory { return &Memory{last: map[uint64]time.Time{}} }
 
-func memoryKey(server, object string) uint64 {
-	return xxhash.Sum64String(server + "\x00" + object)
+func memoryKey(server string, object uint64) uint64 {
+	return pollencrank.Mix(object ^ xxhash.Sum64String(server))
 }
 
-// Learn records that a server has worked on an object.
-func (m *Memory) Learn(server, object string, now time.Time) {
+// Learn records that a server has worked on the object with a key.
+func (m *Memory) Learn(server string, object uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.last) >= memoryMaxEntries {
@@ -39,8 +41,8 @@
 	m.last[memoryKey(server, object)] = now
 }
 
-// Knows reports whether a server is believed to know an object.
-func (m *Memory) Knows(server, object string, now time.Time) bool {
+// Knows reports whether a server is believed to know the object with a key.
+func (m *Memory) Knows(server string, object uint64, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, ok := m.last[memoryKey(server, object)]
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -54,14 +54,15 @@
 }
 
 func TestWorkTimesFollowTheFastAnswers(t *testing.T) {
+	lookups := selector.Work{Route: "route", Service: "parts"}
 	times := selector.NewWorkTimes()
-	require.Equal(t, work, times.Of("route", work))
+	require.Equal(t, work, times.Of(lookups, work))
 	for i := range 2000 {
 		took := work
 		if i%2 == 0 {
 			took = 4 * work
 		}
-		times.Observe("route", took)
+		times.Observe(lookups, took)
 	}
-	require.InDelta(t, float64(work), float64(times.Of("route", 0)), float64(work)/2)
+	require.InDelta(t, float64(work), float64(times.Of(lookups, 0)), float64(work)/2)
 }
--- a/selector/worktime.go
+++ b/selector/worktime.go
@@ -13,33 +13,39 @@
 	workStep = 0.05
 )
 
-// WorkTimes estimates, for each name, how long a server works on a request for
+// Work names requests that servers work on alike.
+type Work struct {
+	Route   string
+	Service string
+}
+
+// WorkTimes estimates, for each kind of work, how long a server works on a request for
 // an object that it knows. It is safe for concurrent use.
 type WorkTimes struct {
 	mu    sync.Mutex
-	times map[string]time.Duration
+	times map[Work]time.Duration
 }
 
 // NewWorkTimes returns a WorkTimes without observations.
-func NewWorkTimes() *WorkTimes { return &WorkTimes{times: map[string]time.Duration{}} }
+func NewWorkTimes() *WorkTimes { return &WorkTimes{times: map[Work]time.Duration{}} }
 
-// Of returns the estimate for a name, or initial if nothing was observed.
-func (w *WorkTimes) Of(name string, initial time.Duration) time.Duration {
+// Of returns the estimate for some work, or initial if nothing was observed.
+func (w *WorkTimes) Of(work Work, initial time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t, ok := w.times[name]; ok {
+	if t, ok := w.times[work]; ok {
 		return t
 	}
 	return initial
 }
 
 // Observe takes the time of one answer.
-func (w *WorkTimes) Observe(name string, took time.Duration) {
+func (w *WorkTimes) Observe(work Work, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t, ok := w.times[name]
+	t, ok := w.times[work]
 	if !ok {
-		w.times[name] = max(took, time.Millisecond)
+		w.times[work] = max(took, time.Millisecond)
 		return
 	}
 	step := workStep * float64(t)
@@ -48,5 +54,5 @@
 	} else {
 		t += time.Duration(step * workQuantile)
 	}
-	w.times[name] = max(t, time.Millisecond)
+	w.times[work] = max(t, time.Millisecond)
 }
