feat: what a server in trouble sends without end is bounded; a late copy, a suspension and an unmarked answer do no harm

Cause: nothing bounded a head but the library's 10 MB, refusals were waited for by their bodies, answers of 2 MB each were held without a common bound, and a machine that was suspended acted on what its clock had not counted.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,14 @@
 	dialTimeout           = 500 * time.Millisecond
 	idleTimeout           = 90 * time.Second
 	writeBufferBytes      = 16 << 10
+	// maxHeaderBytes bounds the head of an answer, with the interim ones before
+	// it: a server in trouble may send bytes without end.
+	maxHeaderBytes = 64 << 10
+	// maxDrainBytes is the length of a refusal's body that is read so that the
+	// connection can be used again.
+	maxDrainBytes = 4 << 10
+	// drainTime is how long it is waited for.
+	drainTime = 200 * time.Millisecond
 )
 
 // Config is the configuration of a Dispatcher.
@@ -163,6 +171,8 @@
 		IdleConnTimeout:     d.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	next := maps.Clone(current)
 	next[target] = t
@@ -197,7 +207,7 @@
 		d.config.OnReport(target, report)
 	}
 	if reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header); notRun {
-		drain(response.Body)
+		go discard(response)
 		return nil, refusalError(target, reason, response)
 	}
 	return newAnswer(target, response, report), nil
@@ -249,11 +259,15 @@
 	return err
 }
 
-// drain reads the rest of a small body so that the connection can be reused.
-func drain(body io.ReadCloser) {
-	const maxDrainBytes = 4 << 10
-	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
-	_ = body.Close()
+// discard reads the short body of a refusal, so that the connection can be used
+// again, and closes the connection otherwise.
+func discard(response *http.Response) {
+	timer := time.AfterFunc(drainTime, func() { _ = response.Body.Close() })
+	defer timer.Stop()
+	if response.ContentLength >= 0 && response.ContentLength <= maxDrainBytes {
+		_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+	}
+	_ = response.Body.Close()
 }
 
 func newAnswer(target Target, response *http.Response, report Report) *pollencrank.Answer {
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
-	drain(response.Body)
+	discard(response)
 	load, err := strconv.Atoi(response.Header.Get(HeaderLoad))
 	if err != nil || load < 0 {
 		load = UnknownLoad
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,7 +21,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -35,13 +34,11 @@
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
 	"github.com/pollencrank/pollencrank/selector"
+	"github.com/pollencrank/pollencrank/stager"
 	"github.com/pollencrank/pollencrank/warmer"
 )
 
 const (
-	// bufferedAnswerBytes is the length up to which an answer is read as a whole
-	// before its first byte is passed on, so that a broken one can be repeated.
-	bufferedAnswerBytes = 2 << 20
 	// leastRetryPause and mostRetryPause bound the time after which a refused
 	// caller is asked to come back.
 	leastRetryPause = 150 * time.Millisecond
@@ -71,6 +68,8 @@
 	Budgets   *Budgets
 	Distances *Distances
 	Suspects  Suspects
+	// Suspended, if set, returns for how long the machine has been suspended.
+	Suspended func() time.Duration
 	Log       *slog.Logger
 }
 
@@ -80,15 +79,21 @@
 	work       *selector.WorkTimes
 	memory     *selector.Memory
 	placements *placements
+	// answers holds answers until they are known to be whole.
+	answers *stager.Stager
 }
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
+	if config.Suspended == nil {
+		config.Suspended = func() time.Duration { return 0 }
+	}
 	return &Forwarder{
 		config:     config,
 		work:       selector.NewWorkTimes(),
 		memory:     selector.NewMemory(),
 		placements: &placements{config: config},
+		answers:    stager.New(stager.Config{PerBody: heldAnswerBytes, Total: heldAnswersBytes}),
 	}
 }
 
@@ -106,6 +111,9 @@
 	BodyFailure func() error
 
 	service router.Service
+	// suspended is for how long the machine had been suspended when the deadline
+	// was last looked at.
+	suspended time.Duration
 	// key is that of the object, or of the request if it is about none.
 	key   uint64
 	tried []*registrar.Backend
@@ -127,12 +135,16 @@
 	}
 	budget := f.config.Budgets.Of(name)
 	budget.Deposit(time.Now())
+	call.suspended = f.config.Suspended()
 
 	var failure pollencrank.Failure
 	var lastAnswer *pollencrank.Answer
 	for attempt := 1; attempt <= call.Route.MaxAttempts; attempt++ {
 		now := time.Now()
 		backend, expected, err := f.choose(call, now, attempt)
+		if err == nil {
+			err = f.checkDeadline(call, now)
+		}
 		if err == nil && attempt > 1 && !budget.Withdraw(now) {
 			err = pollencrank.NotRun(pollencrank.ReasonRetryBudget, "no further attempt is left in the budget")
 		}
@@ -142,9 +154,11 @@
 		}
 		answer, err := f.try(ctx, call, backend, expected)
 		if err == nil && !isServerError(answer) {
+			closeAnswer(lastAnswer)
 			return answer, nil
 		}
 		if answer != nil {
+			closeAnswer(lastAnswer)
 			lastAnswer = answer
 		}
 		if err == nil {
@@ -162,6 +176,25 @@
 	return nil, failure.Err()
 }
 
+// checkDeadline takes the time in which the machine was suspended off what is left
+// for a call, and refuses one whose deadline has passed meanwhile.
+func (f *Forwarder) checkDeadline(call *Call, now time.Time) error {
+	suspended := f.config.Suspended()
+	call.Request.Deadline = call.Request.Deadline.Add(call.suspended - suspended)
+	call.suspended = suspended
+	if now.Before(call.Request.Deadline) {
+		return nil
+	}
+	return pollencrank.NotRun(pollencrank.ReasonDeadlinePassed, "the deadline passed before the request was sent")
+}
+
+// closeAnswer gives up an answer that is not passed on.
+func closeAnswer(answer *pollencrank.Answer) {
+	if answer != nil {
+		_ = answer.Body.Close()
+	}
+}
+
 // isServerError reports whether a repeat at another server may do better.
 func isServerError(answer *pollencrank.Answer) bool { return answer.Status >= 500 }
 
@@ -202,7 +235,7 @@
 		err = check(answer, &request)
 	}
 	if err == nil {
-		err = readWhole(answer)
+		err = f.take(ctx, answer, backend)
 	}
 	backend.End(sent)
 	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
@@ -225,50 +258,6 @@
 		"the request's body broke off on its way to server %s: %v", server.ID, call.BodyFailure())
 }
 
-// check makes sure that an answer is a server's own and the one to the request.
-// Without it the request may have run.
-func check(answer *pollencrank.Answer, request *pollencrank.Request) error {
-	if answer.RequestID != "" && answer.RequestID != request.ID {
-		_ = answer.Body.Close()
-		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch, "server %s answered request %s", answer.Server, answer.RequestID)
-	}
-	if answer.Status/100 == 2 && !answer.IsGenuine {
-		_ = answer.Body.Close()
-		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch, "the answer of server %s has no proof that it is its own", answer.Server)
-	}
-	return nil
-}
-
-// readWhole reads the body of an answer that is not very long, so that one that
-// breaks off is noticed before anything of it is passed on.
-func readWhole(answer *pollencrank.Answer) error {
-	if answer.ContentLength > bufferedAnswerBytes {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerBytes+1))
-	if err != nil {
-		_ = answer.Body.Close()
-		reason := pollencrank.ReasonAnswerTruncated
-		if errors.Is(err, context.DeadlineExceeded) {
-			reason = pollencrank.ReasonDeadlinePassed
-		}
-		return pollencrank.OutcomeUnknown(reason, "server %s: the answer broke off: %v", answer.Server, err)
-	}
-	if len(body) > bufferedAnswerBytes {
-		answer.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
-		return nil
-	}
-	_ = answer.Body.Close()
-	answer.ContentLength = int64(len(body))
-	answer.Body = io.NopCloser(bytes.NewReader(body))
-	return nil
-}
-
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // observe keeps what an attempt showed of its server.
 func (f *Forwarder) observe(ctx context.Context, call *Call, backend *registrar.Backend, answer *pollencrank.Answer, err error, took time.Duration) {
 	now := time.Now()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,12 +30,17 @@
 
 // sender is a stand-in of the backend servers.
 type sender struct {
-	mu    sync.Mutex
-	sent  []string
+	mu   sync.Mutex
+	sent []string
+	// real, if set, sends requests over the network.
+	real  *dispatcher.Dispatcher
 	reply func(server string, n int, request *pollencrank.Request) (*pollencrank.Answer, error)
 }
 
-func (s *sender) Send(_ context.Context, target dispatcher.Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
+func (s *sender) Send(ctx context.Context, target dispatcher.Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
+	if s.real != nil {
+		return s.real.Send(ctx, target, request)
+	}
 	s.mu.Lock()
 	s.sent = append(s.sent, target.Name)
 	n := len(s.sent)
@@ -62,6 +68,12 @@
 	warmer    *warmer.Warmer
 	route     router.Route
 	requests  int
+	// suspended is for how long the machine was suspended, in nanoseconds; sleeps
+	// is added each time it is asked.
+	suspended atomic.Int64
+	sleeps    time.Duration
+	// patience is how long callers wait.
+	patience time.Duration
 	// serversCrash says that a server that breaks off is down.
 	serversCrash atomic.Bool
 	told         chan isolator.Record
@@ -71,7 +83,7 @@
 
 func newSystem(t testing.TB) *system {
 	t.Helper()
-	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), told: make(chan isolator.Record, 1000)}
+	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), patience: time.Second, told: make(chan isolator.Record, 1000)}
 	s.warmer.SetInstances([]string{"entry-1"})
 	s.registrar = registrar.New(registrar.Config{
 		Warmup: func(string) time.Duration { return 3 * time.Second },
@@ -88,7 +100,8 @@
 			IsDown:   func(context.Context, string) bool { return s.serversCrash.Load() },
 			Tell:     func(r isolator.Record) { s.told <- r },
 		},
-		Log: slog.New(slog.DiscardHandler),
+		Suspended: func() time.Duration { return time.Duration(s.suspended.Add(int64(s.sleeps))) },
+		Log:       slog.New(slog.DiscardHandler),
 	})
 	s.route = router.Route{
 		Name: "r", Kind: router.Idempotent, MaxAttempts: 2, HasAffinity: true, LatencyObjective: 300 * time.Millisecond,
@@ -121,7 +134,8 @@
 	return s.Forward(ctx, &forwarder.Call{
 		Table: table, Route: &s.route, ObjectKey: object,
 		Request: &pollencrank.Request{
-			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(time.Second), Method: "GET",
+			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(s.patience), Method: "GET", URI: "/x",
+			Header:     http.Header{"X-Attempt-Id": {fmt.Sprint("request-", s.requests)}},
 			Idempotent: s.route.Kind.MayRepeat(),
 		},
 	})
@@ -447,6 +461,20 @@
 	require.Len(t, s.sender.sent, 1)
 }
 
+// A machine is suspended after it has taken a request. When it wakes, the caller
+// has left long ago, although the machine's clock does not say so.
+func TestARequestFromBeforeASuspensionIsNotSent(t *testing.T) {
+	s := newSystem(t)
+	s.route.Kind = router.NonIdempotent
+	s.sleeps = 5 * time.Second
+	_, err := s.ask(t.Context(), "17")
+	require.True(t, pollencrank.IsNotRun(err))
+	require.Empty(t, s.sender.sent)
+	s.sleeps = 10 * time.Millisecond
+	_, err = s.ask(t.Context(), "17")
+	require.NoError(t, err, "a short one leaves time")
+}
+
 // Three crashes are the most that one request may cause.
 func TestARequestThatCrashesServersIsRefused(t *testing.T) {
 	s := newSystem(t)
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -67,6 +67,7 @@
 		IsReady:      h.isReady,
 		Seeds:        h.config.Seeds,
 		OnStore:      h.storeChanged,
+		Suspended:    h.timekeeper.Suspended,
 		Log:          log,
 	})
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -34,6 +34,7 @@
 	"github.com/pollencrank/pollencrank/relayer"
 	"github.com/pollencrank/pollencrank/replicator"
 	"github.com/pollencrank/pollencrank/router"
+	"github.com/pollencrank/pollencrank/timekeeper"
 	"github.com/pollencrank/pollencrank/warmer"
 )
 
@@ -123,6 +124,7 @@
 	state      *replicator.State
 	replicator *replicator.Replicator
 	follows    follows
+	timekeeper *timekeeper.Timekeeper
 	// peers is the client for calls to other instances.
 	peers *http.Client
 	// isConfigured is closed once the instance can serve callers.
@@ -161,6 +163,7 @@
 		peers:        newPeerClient(),
 		isConfigured: make(chan struct{}),
 		startedAt:    time.Now(),
+		timekeeper:   timekeeper.New(),
 	}
 	h.bounds.Store(&config.Bounds)
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
@@ -213,6 +216,7 @@
 		Splitter:  h.splitter,
 		Budgets:   h.budgets,
 		Distances: h.distances,
+		Suspended: h.timekeeper.Suspended,
 		Suspects:  forwarder.Suspects{Isolator: h.isolator, IsDown: isDown, Tell: h.gossip.tell},
 		Log:       h.config.Log,
 	})
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -44,7 +44,7 @@
 	table := uploadTable(maxBody)
 	r := relayer.New(relayer.Config{
 		Table: func() *router.Table { return table }, Forwarder: forward, Dialect: dialect{},
-		Stager: stager.New(stager.Config{PerRequest: heldBytes, Total: room}), Log: slog.New(slog.DiscardHandler),
+		Stager: stager.New(stager.Config{PerBody: heldBytes, Total: room}), Log: slog.New(slog.DiscardHandler),
 	})
 	server := pipeliner.New(pipeliner.Config{Handler: r, MayOverlap: r.MayOverlap})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -53,6 +53,9 @@
 	listingTime = 400 * time.Millisecond
 	// stepInterval is how often it is looked whether relays are silent.
 	stepInterval = 200 * time.Millisecond
+	// maxPause is the longest time between two looks after which what was heard
+	// before still counts. A process that was paused for longer begins anew.
+	maxPause = time.Second
 )
 
 // Watching says which watches an instance holds at the store.
@@ -115,7 +118,9 @@
 	// OnStore is told when there is no sign of the store any more, from this
 	// instance's calls or from others, and when there is again.
 	OnStore func(isLost bool)
-	Log     *slog.Logger
+	// Suspended, if set, returns for how long the machine has been suspended.
+	Suspended func() time.Duration
+	Log       *slog.Logger
 }
 
 // Replicator decides from whom an instance learns what is new. It is safe for
@@ -137,12 +142,19 @@
 	// coveredAt and uncoveredAt are when it began that a relay is heard, or none.
 	coveredAt, uncoveredAt time.Time
 	isLost                 bool
+	// steppedAt is when it was last looked at the relays, and suspended for how
+	// long the machine had been suspended by then.
+	steppedAt time.Time
+	suspended time.Duration
 	// behind are instances that know more than this one, and since when.
 	behind map[string]lag
 }
 
 // New returns a Replicator.
 func New(config Config) *Replicator {
+	if config.Suspended == nil {
+		config.Suspended = func() time.Duration { return 0 }
+	}
 	return &Replicator{
 		config:  config,
 		wakes:   make(chan struct{}, 1),
@@ -195,6 +207,9 @@
 
 // step looks at the relays and decides whom to follow and what to watch.
 func (r *Replicator) step(ctx context.Context, now time.Time) {
+	if r.notePause(now) {
+		r.config.Store.Renew()
+	}
 	ahead := r.ahead()
 	r.mu.Lock()
 	r.endSilentStreams(now)
@@ -220,6 +235,29 @@
 	r.catchUp(ctx, now)
 }
 
+// notePause reports whether the process was paused or the machine suspended since
+// the last look. What the instance believed of relays and of its own watches then
+// says nothing any more.
+func (r *Replicator) notePause(now time.Time) bool {
+	suspended := r.config.Suspended()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paused := suspended - r.suspended
+	if !r.steppedAt.IsZero() {
+		paused += now.Sub(r.steppedAt)
+	}
+	r.steppedAt = now
+	r.suspended = suspended
+	if paused < maxPause {
+		return false
+	}
+	for id := range r.streams {
+		r.drop(id)
+	}
+	r.watchedAt = now
+	return true
+}
+
 // ahead returns the instances that are more suitable as the relay than this one.
 func (r *Replicator) ahead() []namer.Instance {
 	relays := r.config.Relays()
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -148,6 +148,22 @@
 	})
 }
 
+// A relay that was suspended knows nothing of the meantime, although its clock says
+// that it has just heard of the store: it does not say so until the store has
+// answered it again.
+func TestARelayThatWakesDoesNotVouchForOldNews(t *testing.T) {
+	inWorld(t, []int{2}, func(t *testing.T, w *world) {
+		relay := w.nodes[0]
+		w.with(func() { relay.isCutFromStore = true; relay.suspended += 5 * time.Second })
+		w.write()
+		time.Sleep(300 * time.Millisecond)
+		news, _ := relay.now().Since(replicator.Have{})
+		require.True(t, news.ConfirmedAt.Before(time.Now().Add(-200*time.Millisecond)))
+		w.with(func() { relay.isCutFromStore = false })
+		requireNews(t, w, w.nodes...)
+	})
+}
+
 // The relay of an instance that starts may be dark: it does not wait for it for
 // long, because it can serve nobody meanwhile.
 func TestAnInstanceThatStartsDoesNotWaitForADarkRelay(t *testing.T) {
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -49,6 +49,8 @@
 	isCutFromStore, isCutFromPeers bool
 	// isTurnedAway says that the store refuses the instance.
 	isTurnedAway bool
+	// suspended is for how long the machine was suspended.
+	suspended time.Duration
 	// seen are the evacuations that the instance knows of, versions the
 	// configurations that were in force.
 	seen     map[string]bool
@@ -155,7 +157,7 @@
 	l.Replicator = replicator.New(replicator.Config{
 		Self: l.instance, State: l.state, Store: l, Peers: peers{n},
 		Relays: n.relays, IsFirstStart: func() bool { return false }, IsReady: l.state.IsKnown, Seeds: n.seeds(),
-		OnStore: func(bool) {}, Log: slog.New(slog.DiscardHandler),
+		OnStore: func(bool) {}, Suspended: n.suspension, Log: slog.New(slog.DiscardHandler),
 	})
 	n.world.with(func() {
 		n.life = l
@@ -271,6 +273,12 @@
 	return contact
 }
 
+func (n *node) suspension() time.Duration {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return n.suspended
+}
+
 // mayReach reports whether a message gets from one instance to another.
 func (n *node) mayReach(other *node) bool {
 	n.world.mu.Lock()
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -1,11 +1,13 @@
-// Package stager takes in the bodies of requests before they are sent on.
+// Package stager takes in bodies of requests and answers before they are passed
+// on.
 //
-// A body that was read in advance occupies no slot of a backend server while its
-// caller sends it, and it can be sent to a second server. What is held is
-// bounded for each request and for the whole process: a body that is longer than
-// the first bound is passed on as it arrives, and one that would exceed the
-// second is refused before it is read. Short bodies have room of their own, so
-// that large ones do not crowd them out.
+// The body of a request that was read in advance occupies no slot of a backend
+// server while its caller sends it, and it can be sent to a second server. An
+// answer that was read in advance is known to be whole. What is held is bounded
+// for each body and for the whole process: a body that is longer than the first
+// bound is passed on as it arrives, and one for which there is no room at all is
+// refused before it is read. Short bodies have room of their own, so that large
+// ones do not crowd them out.
 //
 // # Usage
 //
@@ -26,8 +28,8 @@
 )
 
 const (
-	// DefaultPerRequest is how much of one body is held.
-	DefaultPerRequest = 512 << 10
+	// DefaultPerBody is how much of one body is held.
+	DefaultPerBody = 512 << 10
 	// DefaultTotal is how much of all large bodies together is held.
 	DefaultTotal = 24 << 20
 	// shortBytes is the length up to which a body counts as short, shortTotal
@@ -51,15 +53,15 @@
 
 // Config is the configuration of a Stager. Zero values take the defaults.
 type Config struct {
-	// PerRequest is how many bytes of one body are held.
-	PerRequest int64
+	// PerBody is how many bytes of one body are held.
+	PerBody int64
 	// Total is how many bytes of all large bodies are held.
 	Total int64
 }
 
 // Stager holds bodies. It is safe for concurrent use.
 type Stager struct {
-	perRequest   int64
+	perBody      int64
 	short, large room
 }
 
@@ -79,16 +81,16 @@
 
 // New returns a Stager.
 func New(config Config) *Stager {
-	if config.PerRequest <= 0 {
-		config.PerRequest = DefaultPerRequest
+	if config.PerBody <= 0 {
+		config.PerBody = DefaultPerBody
 	}
 	if config.Total <= 0 {
 		config.Total = DefaultTotal
 	}
 	return &Stager{
-		perRequest: config.PerRequest,
-		short:      room{total: shortTotal},
-		large:      room{total: config.Total},
+		perBody: config.PerBody,
+		short:   room{total: shortTotal},
+		large:   room{total: config.Total},
 	}
 }
 
@@ -106,7 +108,7 @@
 
 // Stage reads a body until its end or the bound for one request. A negative
 // length means that it is not known. It returns a FullError if there is no room,
-// and the error of body if that breaks off.
+// with nothing of the body read, and the error of body if that breaks off.
 func (s *Stager) Stage(body io.Reader, length int64) (*Body, error) {
 	b := &Body{room: &s.large}
 	if length >= 0 && length <= shortBytes {
@@ -121,15 +123,20 @@
 
 // fill reads a body step by step, each after room for it was taken.
 func (s *Stager) fill(b *Body, body io.Reader, length int64) error {
-	size := min(step, s.perRequest)
+	size := min(step, s.perBody)
 	if length >= 0 {
-		size = min(length, s.perRequest)
+		size = min(length, s.perBody)
 	}
 	for {
-		if err := b.grow(size); err != nil {
+		err := b.grow(size)
+		if err != nil && len(b.data) > 0 {
+			b.rest = body
+			return nil
+		}
+		if err != nil {
 			return err
 		}
-		err := b.read(body)
+		err = b.read(body)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -139,11 +146,11 @@
 		if int64(len(b.data)) == length {
 			return nil
 		}
-		if b.held >= s.perRequest {
+		if b.held >= s.perBody {
 			b.rest = body
 			return nil
 		}
-		size = min(b.held, s.perRequest-b.held)
+		size = min(b.held, s.perBody-b.held)
 	}
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -22,7 +22,7 @@
 // and all room is given back.
 func TestABodyIsPassedOnUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := stager.New(stager.Config{PerRequest: 100_000, Total: 200_000})
+		s := stager.New(stager.Config{PerBody: 100_000, Total: 200_000})
 		sent := make([]byte, rapid.IntRange(0, 250_000).Draw(t, "bytes"))
 		for i := range sent {
 			sent[i] = byte(i * 7)
@@ -81,6 +81,22 @@
 	again.Release()
 }
 
+// When the room ends within a body of unknown length, the rest is passed on as it
+// arrives.
+func TestABodyOfUnknownLengthOutlivesTheRoom(t *testing.T) {
+	s := stager.New(stager.Config{Total: 100_000})
+	sent := bytes.Repeat([]byte("pins"), 50_000)
+	body, err := s.Stage(bytes.NewReader(sent), unknownLength)
+	require.NoError(t, err)
+	_, isWhole := body.Whole()
+	require.False(t, isWhole)
+	got, err := io.ReadAll(body.Reader())
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, got))
+	body.Release()
+	require.Zero(t, s.Held())
+}
+
 func TestABodyThatBreaksOffGivesItsRoomBack(t *testing.T) {
 	s := stager.New(stager.Config{})
 	broken := errors.New("reset")
