feat: an instance that starts while callers wait asks the store for everything at once

Change: only the first start of a fleet (the platform says so) finds its relays before it asks for the rest; this replaces a guess from the ages of other instances.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -93,6 +93,7 @@
 		Evacuations:    platform.Evacuations(store, log),
 		Instances:      platform.Instances(store, log),
 		Seeds:          settings.Seeds,
+		IsFirstStart:   settings.IsFirstStart,
 		Bounds:         boundsOf(settings),
 		SampleEvery:    c.LogEvery,
 		Log:            log,
@@ -176,6 +177,6 @@
 // needsRestart reports whether settings differ in more than what can change while
 // the instance runs.
 func needsRestart(current, next platform.Settings) bool {
-	next.Bounds, next.Seeds = current.Bounds, current.Seeds
+	next.Bounds, next.Seeds, next.IsFirstStart = current.Bounds, current.Seeds, current.IsFirstStart
 	return !reflect.DeepEqual(next, current)
 }
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -63,7 +63,7 @@
 		Store:        storeAccess{h},
 		Peers:        replicator.NewClient(h.config.Self.ID, h.peers),
 		Relays:       h.roster.relays,
-		IsFirstStart: h.roster.isFirstStart,
+		IsFirstStart: h.config.IsFirstStart,
 		IsReady:      h.isReady,
 		Seeds:        h.config.Seeds,
 		OnStore:      h.storeChanged,
@@ -73,8 +73,6 @@
 }
 
 func (h *Hoster) followStore() {
-	// What else is asked is decided once it is known which others there are.
-	storeAccess{h}.Watch(replicator.WatchInstances)
 	h.goUntilStopped(h.follows.configurations.Run)
 	h.goUntilStopped(h.follows.servers.Run)
 	h.goUntilStopped(h.follows.evacuations.Run)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -85,6 +85,9 @@
 	// not answer at the start. Some may be stale.
 	Seeds []string
 
+	// IsFirstStart says that the whole fleet starts for the first time.
+	IsFirstStart bool
+
 	Bounds Bounds
 	// SampleEvery is how many answered requests there are for one that is
 	// logged. Zero takes the default.
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -23,13 +23,8 @@
 	// confirmed are those that look-ups name.
 	confirmed atomic.Pointer[[]namer.Instance]
 
-	// wasFresh says that the first listing showed no instance that had run for a
-	// while.
-	wasFresh atomic.Bool
-
-	mu       sync.Mutex
-	isListed bool
-	listed   map[string]listedInstance
+	mu     sync.Mutex
+	listed map[string]listedInstance
 }
 
 type listedInstance struct {
@@ -48,10 +43,6 @@
 func (r *roster) Reset(items []follower.Item[namer.Instance]) {
 	r.mu.Lock()
 	clear(r.listed)
-	if !r.isListed {
-		r.isListed = true
-		r.wasFresh.Store(!slices.ContainsFunc(items, r.isOlder))
-	}
 	r.mu.Unlock()
 	r.Apply(items)
 }
@@ -80,18 +71,6 @@
 	}
 }
 
-// togetherTime is how long before an instance others may have started that start
-// together with it. Incarnations are times in nanoseconds.
-const togetherTime = 3 * time.Second
-
-// isOlder reports whether an instance started long before this one.
-func (r *roster) isOlder(item follower.Item[namer.Instance]) bool {
-	return item.Value.Incarnation+uint64(togetherTime) < r.h.config.Self.Incarnation
-}
-
-// isFirstStart reports whether the fleet has just started with this instance.
-func (r *roster) isFirstStart() bool { return r.wasFresh.Load() }
-
 // relays returns the live instances of this one's failure domain, with this one,
 // in the order in which they watch the store for the others: the most capable
 // ones first.
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -199,7 +199,9 @@
 	defer s.mu.Unlock()
 	s.isClosed = true
 	for l := range s.listeners {
-		limited, ok := l.(interface{ SetDeadline(deadline time.Time) error })
+		limited, ok := l.(interface {
+			SetDeadline(deadline time.Time) error
+		})
 		if !ok || limited.SetDeadline(time.Now().Add(acceptTime)) != nil {
 			_ = l.Close()
 			delete(s.listeners, l)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -48,9 +48,6 @@
 	// aloneTime is how long after the first start of a fleet an instance waits for
 	// others to appear in its failure domain, before it watches everything.
 	aloneTime = 1200 * time.Millisecond
-	// listingTime is how long a starting instance waits for the store to say which
-	// others there are, before it asks for everything.
-	listingTime = 400 * time.Millisecond
 	// stepInterval is how often it is looked whether relays are silent.
 	stepInterval = 200 * time.Millisecond
 	// maxPause is the longest time between two looks after which what was heard
@@ -107,9 +104,10 @@
 	// Relays returns the live instances of this one's failure domain, the most
 	// suitable relay first, with this one among them.
 	Relays func() []namer.Instance
-	// IsFirstStart reports whether the whole fleet has just started: others are
-	// about to appear.
-	IsFirstStart func() bool
+	// IsFirstStart says that the whole fleet starts for the first time: others are
+	// about to appear, and there are no callers yet. Otherwise an instance that
+	// starts asks for everything at once, because callers wait.
+	IsFirstStart bool
 	// IsReady reports whether this instance can serve callers.
 	IsReady func() bool
 	// Seeds are peer addresses to ask while nothing is known and the store does
@@ -155,6 +153,8 @@
 	if config.Suspended == nil {
 		config.Suspended = func() time.Duration { return 0 }
 	}
+	// Nothing must be asked that the first decision would not ask.
+	config.Store.Watch(firstWatching(config))
 	return &Replicator{
 		config:  config,
 		wakes:   make(chan struct{}, 1),
@@ -165,6 +165,13 @@
 	}
 }
 
+func firstWatching(config Config) Watching {
+	if config.IsFirstStart {
+		return WatchInstances
+	}
+	return WatchAll
+}
+
 // Run decides until ctx ends.
 func (r *Replicator) Run(ctx context.Context) error {
 	r.mu.Lock()
@@ -297,12 +304,11 @@
 // chooseWatching decides what to watch, given how many instances are more
 // suitable than this one, and which of them is followed. The lock is held.
 func (r *Replicator) chooseWatching(ahead int, wanted *namer.Instance, now time.Time) Watching {
-	_, isFleetKnown := r.config.State.Instances.Position()
 	switch {
-	case !isFleetKnown && now.Sub(r.startedAt) < listingTime:
-		return WatchInstances
-	case ahead == 0 && now.Sub(r.startedAt) < aloneTime && r.config.IsFirstStart():
+	case ahead == 0 && now.Sub(r.startedAt) < aloneTime && r.config.IsFirstStart:
 		return WatchInstances
+	case !r.config.IsFirstStart && !r.config.State.IsKnown():
+		return WatchAll
 	case wanted == nil:
 		return WatchAll
 	case !r.coveredAt.IsZero() && (r.watching != WatchAll || now.Sub(r.coveredAt) >= settleTime):
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -156,7 +156,7 @@
 	}
 	l.Replicator = replicator.New(replicator.Config{
 		Self: l.instance, State: l.state, Store: l, Peers: peers{n},
-		Relays: n.relays, IsFirstStart: func() bool { return false }, IsReady: l.state.IsKnown, Seeds: n.seeds(),
+		Relays: n.relays, IsReady: l.state.IsKnown, Seeds: n.seeds(),
 		OnStore: func(bool) {}, Suspended: n.suspension, Log: slog.New(slog.DiscardHandler),
 	})
 	n.world.with(func() {
@@ -167,7 +167,6 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	l.Watch(replicator.WatchInstances)
 	for _, f := range l.follows {
 		n.done.Go(func() { _ = f.Run(ctx) })
 	}
