fix: no goroutine logs after the log is closed at the end of a planned stop

Ruled out: the order of Close in hosted.go alone, because nothing waited for the stream's goroutine. Change: Run of replicator, prober and gossiper return after their goroutines; deregistration belongs to the hoster's tomb and is cancelled with it; hosted.go waits for the watch of the settings. A line after Close is dropped and counted. Measured: TestALineAfterTheEndIsDroppedAndCounted panics before and passes after.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -58,8 +59,12 @@
 	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	go watchSettings(ctx, hangups, settings, h.SetBounds, log)
-	return h.Run(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { watchSettings(ctx, hangups, settings, h.SetBounds, log) })
+	err = h.Run(ctx)
+	cancel()
+	watch.Wait()
+	return err
 }
 
 func (c *hostedCommand) newHoster(settings platform.Settings, log *slog.Logger) (*hoster.Hoster, error) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -197,8 +197,11 @@
 	return g.self
 }
 
-// Run joins the fleet and exchanges heartbeats until ctx ends.
+// Run joins the fleet and exchanges heartbeats until ctx ends. It returns after its last
+// push has ended.
 func (g *Gossiper) Run(ctx context.Context) error {
+	var pushes sync.WaitGroup
+	defer pushes.Wait()
 	g.Join(ctx)
 	timer := time.NewTimer(g.nextInterval())
 	defer timer.Stop()
@@ -213,7 +216,7 @@
 			}
 		case <-pushTimer:
 			pushTimer = nil
-			go g.pushUpdates(ctx)
+			pushes.Go(func() { g.pushUpdates(ctx) })
 		case <-timer.C:
 			g.Tick(ctx)
 			timer.Reset(g.nextInterval())
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -47,13 +47,15 @@
 
 // deregister removes the instance's entry from the store in the background.
 func (h *Hoster) deregister(deadline time.Time) {
-	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	stopped := h.tomb.Context(context.Background())
+	h.tomb.Go(func() error {
+		ctx, cancel := context.WithDeadline(stopped, deadline)
 		defer cancel()
 		if err := h.config.Registry.Remove(ctx, h.config.Self.ID, 0); err != nil {
 			h.config.Log.Warn("the instance's entry could not be removed from the store", recorder.EventRegistrationFailed.Attr(), slog.Any("error", err))
 		}
-	}()
+		return nil
+	})
 }
 
 func sleepUntil(deadline time.Time) {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -161,8 +161,10 @@
 	return dead && incarnation == i.Incarnation
 }
 
-// Run probes periodically until ctx ends.
+// Run probes periodically until ctx ends. It returns after its last probe has ended.
 func (p *Prober) Run(ctx context.Context) error {
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
@@ -173,7 +175,7 @@
 		case <-p.wakeup:
 		}
 		for _, i := range p.probeTargets() {
-			go p.probe(ctx, i)
+			probes.Go(func() { p.probe(ctx, i) })
 		}
 	}
 }
--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 )
 
@@ -10,13 +11,19 @@
 const maxQueuedLines = 4096
 
 // Writer writes log lines in the background. It never blocks: a line is dropped if the
-// queue is full, and a later line reports the number of dropped lines.
+// queue is full, and a later line reports the number of dropped lines. Lines after
+// Close are dropped and counted by Late.
 type Writer struct {
 	out     io.Writer
 	report  *slog.Logger
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Uint64
+	late    atomic.Uint64
+
+	// mu keeps Close from closing lines during a Write.
+	mu       sync.RWMutex
+	isClosed bool
 }
 
 // NewWriter returns a Writer to out. Its Close writes the queued lines.
@@ -34,6 +41,12 @@
 // Write implements io.Writer. It queues a copy of the line.
 func (w *Writer) Write(line []byte) (int, error) {
 	copied := append([]byte(nil), line...)
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.isClosed {
+		w.late.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- copied:
 	default:
@@ -59,8 +72,17 @@
 	}
 }
 
-// Close writes the queued lines. Write must not be called afterwards.
+// Late returns the number of lines that were dropped because they came after Close.
+func (w *Writer) Late() uint64 { return w.late.Load() }
+
+// Close writes the queued lines. Later calls do nothing.
 func (w *Writer) Close() {
-	close(w.lines)
+	w.mu.Lock()
+	wasClosed := w.isClosed
+	w.isClosed = true
+	w.mu.Unlock()
+	if !wasClosed {
+		close(w.lines)
+	}
 	<-w.done
 }
--- a/recorder/writer_test.go
+++ b/recorder/writer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,6 +68,31 @@
 	require.Equal(t, lines, kept+dropped, "every line is written or counted")
 }
 
+// Guards against a panic at the end of a planned stop: a goroutine may log after the
+// log was closed.
+func TestALineAfterTheEndIsDroppedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	w := recorder.NewWriter(&out)
+	var wait sync.WaitGroup
+	const writers, linesEach = 8, 200
+	for range writers {
+		wait.Go(func() {
+			for range linesEach {
+				_, err := io.WriteString(w, "line\n")
+				require.NoError(t, err)
+			}
+		})
+	}
+	w.Close()
+	wait.Wait()
+	_, err := io.WriteString(w, "late\n")
+	require.NoError(t, err)
+	w.Close()
+	written := strings.Count(out.String(), "line\n")
+	require.Equal(t, uint64(writers*linesEach+1), uint64(written)+w.Late(), "every line is written or counted")
+	require.NotContains(t, out.String(), "late")
+}
+
 func BenchmarkWriter(b *testing.B) {
 	for name, out := range map[string]io.Writer{"read": io.Discard, "not read": &gatedWriter{open: make(chan struct{})}} {
 		b.Run(name, func(b *testing.B) {
--- a/replicator/catchup.go
+++ b/replicator/catchup.go
@@ -69,7 +69,7 @@
 	}
 	r.config.Log.Info("another instance has newer revisions, fetching them", recorder.EventCaughtUp.Attr(), slog.String("instance", from.instance.ID))
 	r.config.Store.Renew()
-	go r.fetch(ctx, from.instance.PeerAddress)
+	r.background.Go(func() { r.fetch(ctx, from.instance.PeerAddress) })
 }
 
 // fetch fetches the changes that this instance lacks from another one.
@@ -117,13 +117,13 @@
 			continue
 		}
 		queried++
-		go func() {
+		r.background.Go(func() {
 			update, err := r.config.Peers.Fetch(ctx, address, Cursor{})
 			if err != nil {
 				r.config.Log.Debug("fetching from a seed failed", slog.String("address", address), slog.Any("error", err))
 			}
 			answers <- update
-		}()
+		})
 	}
 	r.applyAnswers(ctx, answers, queried)
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -134,6 +134,8 @@
 	// closed ends the streams to the followers of this instance.
 	closed    chan struct{}
 	closeOnce sync.Once
+	// background counts the goroutines that Run waits for.
+	background sync.WaitGroup
 
 	mu         sync.Mutex
 	startedAt  time.Time
@@ -179,13 +181,15 @@
 	return WatchAll
 }
 
-// Run chooses relays and watches until ctx ends.
+// Run chooses relays and watches until ctx ends. It returns after every goroutine that
+// it started has ended.
 func (r *Replicator) Run(ctx context.Context) error {
 	r.mu.Lock()
 	r.startedAt = time.Now()
 	r.relayDownSince = r.startedAt
 	r.mu.Unlock()
-	go r.bootstrap(ctx)
+	defer r.background.Wait()
+	r.background.Go(func() { r.bootstrap(ctx) })
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
--- a/replicator/stream.go
+++ b/replicator/stream.go
@@ -40,13 +40,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &stream{instance: instance, cancel: cancel, openedAt: now}
 	r.streams[instance.ID] = s
-	go func() {
+	r.background.Go(func() {
 		defer cancel()
 		err := r.config.Peers.Follow(ctx, instance.PeerAddress, r.config.State.Cursor(), func(update Update) error {
 			return r.receive(s, update)
 		})
 		r.streamEnded(s, err)
-	}()
+	})
 }
 
 // receive handles a message of a relay.
