fix: servers that end at the same moment do not block the requests that ran on them

Cause: every crash during a request counted as a strike, so two servers that ended at the same moment blocked each request that ran on both for ten minutes, also orders that are innocent (TestAKilledBackendServerBreaksNoInvariant). Ruled out: that the probe mistakes living servers for crashed ones; both servers were closed. Change: the second crash counts if its attempt began after the first one and no other server of its failure domain, on which the request did not run, ended within a second; one that ends later withdraws the block. In forwarder, two different suspects never share a server, and suspects about no object have the same order of servers at every entry.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -204,13 +204,19 @@
 	return pollencrank.IsNotRun(err) || request.Idempotent
 }
 
+// sending is the server that a request was sent to, and when.
+type sending struct {
+	server string
+	at     time.Time
+}
+
 // attempt sends a request to one server. It returns the name of the server, or "" if
 // no slot was granted. onReadError is called if reading the answer fails before ctx is
 // done.
-func (e *Executor) attempt(ctx context.Context, p *pool, request *pollencrank.Request, avoid string, onReadError func(server string)) (*pollencrank.Answer, string, error) {
+func (e *Executor) attempt(ctx context.Context, p *pool, request *pollencrank.Request, avoid string, onReadError func(sent sending)) (*pollencrank.Answer, sending, error) {
 	grant, err := e.acquire(ctx, p, request, avoid)
 	if err != nil {
-		return nil, "", err
+		return nil, sending{}, err
 	}
 	target, ok := p.targets[grant.Server]
 	if !ok {
@@ -221,6 +227,7 @@
 		trace.WithAttributes(attribute.String("server", grant.Server)))
 	outgoing.Header = recorder.Inject(spanCtx, request.Header)
 	started := time.Now()
+	sent := sending{server: grant.Server, at: started}
 	answer, err := e.config.Sender.Send(spanCtx, target, &outgoing)
 	if err != nil {
 		releaseAfterError(grant, err)
@@ -228,7 +235,7 @@
 		span.End()
 		e.observeError(grant.Server, err)
 		e.config.OnEnd(request.Workload, time.Since(started), request.ContentLength, 0)
-		return nil, grant.Server, err
+		return nil, sent, err
 	}
 	e.observeStatus(grant.Server, answer.Status)
 	span.SetAttributes(attribute.Int("status", answer.Status))
@@ -241,11 +248,11 @@
 		},
 		onReadError: func() {
 			if ctx.Err() == nil {
-				onReadError(grant.Server)
+				onReadError(sent)
 			}
 		},
 	}
-	return answer, grant.Server, nil
+	return answer, sent, nil
 }
 
 // cancelGrace is the time that a server has to notice the cancellation of a request.
--- a/executor/isolate.go
+++ b/executor/isolate.go
@@ -26,26 +26,26 @@
 // it crashes servers. A suspect waits until no other suspect of the workload runs.
 func (e *Executor) attemptIsolated(ctx context.Context, p *pool, request *pollencrank.Request, body *replayer.Body, avoid string) (*pollencrank.Answer, string, error) {
 	fingerprint := sync.OnceValue(func() isolator.Fingerprint { return isolator.FingerprintOf(request, startOfBody(body)) })
-	onReadError := func(server string) { e.recordIfCrashed(ctx, p, server, fingerprint()) }
+	onReadError := func(sent sending) { e.recordIfCrashed(ctx, p, sent, fingerprint()) }
 	if e.config.Isolator.IsEmpty() {
-		answer, server, err := e.attempt(ctx, p, request, avoid, onReadError)
-		e.detectCrash(ctx, p, server, err, fingerprint)
-		return answer, server, err
+		answer, sent, err := e.attempt(ctx, p, request, avoid, onReadError)
+		e.detectCrash(ctx, p, sent, err, fingerprint)
+		return answer, sent.server, err
 	}
 	release, err := e.admitSuspect(ctx, p, request, fingerprint())
 	if err != nil {
 		return nil, "", err
 	}
-	answer, server, err := e.attempt(ctx, p, request, avoid, onReadError)
-	e.detectCrash(ctx, p, server, err, fingerprint)
+	answer, sent, err := e.attempt(ctx, p, request, avoid, onReadError)
+	e.detectCrash(ctx, p, sent, err, fingerprint)
 	if err != nil {
 		release()
-		return nil, server, err
+		return nil, sent.server, err
 	}
 	answer.Body = &suspectBody{ReadCloser: answer.Body, release: release, onComplete: func() {
 		e.config.Isolator.RecordAnswer(fingerprint(), time.Now())
 	}}
-	return answer, server, nil
+	return answer, sent.server, nil
 }
 
 // startOfBody returns the start of a body, or nil if there is no body or reading it fails.
@@ -106,27 +106,34 @@
 }
 
 // detectCrash records a crash if an attempt failed because its server crashed.
-func (e *Executor) detectCrash(ctx context.Context, p *pool, server string, err error, fingerprint func() isolator.Fingerprint) {
+func (e *Executor) detectCrash(ctx context.Context, p *pool, sent sending, err error, fingerprint func() isolator.Fingerprint) {
 	var unknown *pollencrank.OutcomeUnknownError
 	if errors.As(err, &unknown) && unknown.Reason == pollencrank.ReasonServerFailed {
-		e.recordIfCrashed(ctx, p, server, fingerprint())
+		e.recordIfCrashed(ctx, p, sent, fingerprint())
 	}
 }
 
 // recordIfCrashed records a crash if a server has crashed. It returns after the record was
 // shared with the other entries, so that they have it before the caller can retry the
 // request.
-func (e *Executor) recordIfCrashed(ctx context.Context, p *pool, server string, fingerprint isolator.Fingerprint) {
-	target, ok := p.targets[server]
+func (e *Executor) recordIfCrashed(ctx context.Context, p *pool, sent sending, fingerprint isolator.Fingerprint) {
+	endedAt := time.Now()
+	target, ok := p.targets[sent.server]
 	if !ok || !e.hasCrashed(ctx, target) {
 		return
 	}
-	record := e.config.Isolator.RecordCrash(fingerprint, time.Now())
+	// All servers of an executor are in its own failure domain, so that it needs no name.
+	record := e.config.Isolator.RecordCrash(isolator.Crash{
+		Fingerprint: fingerprint,
+		Server:      sent.server,
+		BeganAt:     sent.at,
+		At:          endedAt,
+	})
 	event := recorder.EventRequestSuspected
 	if record.Status(time.Now()) == isolator.Blocked {
 		event = recorder.EventRequestBlocked
 	}
-	e.config.Log.Warn("server crashed while it ran a request", event.Attr(), slog.String("server", server),
+	e.config.Log.Warn("server crashed while it ran a request", event.Attr(), slog.String("server", sent.server),
 		slog.Int("deaths", record.Crashes), slog.Time("until", record.Until))
 	e.config.ShareSuspect(record)
 }
--- a/executor/isolate_test.go
+++ b/executor/isolate_test.go
@@ -167,7 +167,7 @@
 		for i := range suspects {
 			r := request(true, "")
 			r.URI = string(rune('a' + i))
-			requestIsolator.RecordCrash(isolator.FingerprintOf(r, nil), time.Now())
+			requestIsolator.RecordCrash(isolator.Crash{Fingerprint: isolator.FingerprintOf(r, nil), At: time.Now()})
 		}
 		var wait sync.WaitGroup
 		started := time.Now()
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -99,11 +99,17 @@
 	return found
 }
 
+// mayRun reports whether a server may run a call beside the suspects that it runs. A
+// suspect never runs beside another one.
+func (f *Forwarder) mayRun(call *Call, b *registrar.Backend) bool {
+	return call.suspect == nil || !f.suspectRuns.hasOther(b, *call.suspect)
+}
+
 // collect adds usable servers of an order to found until candidateCount is reached.
 func (f *Forwarder) collect(call *Call, p *placement, order []int, skipped []*registrar.Backend, now time.Time, found *candidateSet) {
 	for i, index := range order {
 		b := p.backends[index]
-		if slices.Contains(skipped, b) || slices.Contains(call.triedBackends, b) || !b.IsUsable(now) {
+		if slices.Contains(skipped, b) || slices.Contains(call.triedBackends, b) || !b.IsUsable(now) || !f.mayRun(call, b) {
 			continue
 		}
 		health := b.Health(now)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,12 +24,14 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/isolator"
 	"github.com/pollencrank/pollencrank/placer"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
@@ -83,6 +85,9 @@
 	placements    *placements
 	// answerStager buffers answers until they are known to be complete.
 	answerStager *stager.Stager
+	suspectRuns  suspectRuns
+	// crashChecks counts the checks for crashes that run in the background.
+	crashChecks sync.WaitGroup
 }
 
 // New returns a Forwarder.
@@ -95,6 +100,7 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
+		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
 		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
 }
@@ -120,6 +126,9 @@
 	// object.
 	key           uint64
 	triedBackends []*registrar.Backend
+	// suspect is the fingerprint of the request if an earlier copy of it crashed a
+	// server.
+	suspect *isolator.Fingerprint
 }
 
 // Forward sends a request to a server and returns the answer. The error is a
@@ -130,13 +139,10 @@
 	call.service = call.Table.Services[name]
 	call.service.Name = name
 	call.Request.Workload = name
-	call.key = placer.Key(name, call.ObjectKey)
-	if !call.isAboutObject() {
-		call.key = placer.Key(name, call.Request.ID)
-	}
 	if err := f.refuseCrashing(call, time.Now()); err != nil {
 		return nil, err
 	}
+	call.key = call.placementKey()
 	budget := f.config.Budgets.RetryBudget(name)
 	budget.Deposit(time.Now())
 	call.suspended = f.config.Suspended()
@@ -145,6 +151,12 @@
 	var lastAnswer *pollencrank.Answer
 	for attempt := 1; attempt <= call.Route.MaxAttempts; attempt++ {
 		now := time.Now()
+		if attempt > 1 {
+			if err := f.refuseCrashing(call, now); err != nil {
+				failure.Add(err)
+				break
+			}
+		}
 		backend, expected, err := f.choose(call, now, attempt)
 		if err == nil {
 			err = f.checkDeadline(call, now)
@@ -234,6 +246,9 @@
 		Address:        server.Address,
 		MaxConnections: f.config.Budgets.ConnectionLimit(call.service.MaxConnections),
 	}
+	if call.suspect != nil {
+		defer f.suspectRuns.begin(backend, *call.suspect)()
+	}
 	started := time.Now()
 	sent := backend.Begin(started, expected)
 	answer, err := f.config.Sender.Send(ctx, target, &request)
@@ -248,7 +263,7 @@
 		// The caller's upload failed; the failure is not recorded against the server.
 		return nil, bodyFailure(call, server, err)
 	}
-	f.observe(ctx, call, backend, answer, err, time.Since(started))
+	f.observe(ctx, call, backend, answer, err, started)
 	if err != nil {
 		return nil, err
 	}
@@ -266,11 +281,12 @@
 }
 
 // observe records the outcome and the duration of an attempt for its server.
-func (f *Forwarder) observe(ctx context.Context, call *Call, backend *registrar.Backend, answer *pollencrank.Answer, err error, took time.Duration) {
+func (f *Forwarder) observe(ctx context.Context, call *Call, backend *registrar.Backend, answer *pollencrank.Answer, err error, started time.Time) {
 	now := time.Now()
+	took := now.Sub(started)
 	server := backend.Server()
 	if err != nil {
-		f.observeFailure(ctx, call, backend, err, took, now)
+		f.observeFailure(ctx, call, backend, err, started, now)
 		return
 	}
 	f.clearSuspicion(call, now)
@@ -293,20 +309,20 @@
 
 // observeFailure records a failed attempt for its server, by the kind of failure.
 // A request that the caller canceled is not recorded.
-func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, took time.Duration, now time.Time) {
+func (f *Forwarder) observeFailure(ctx context.Context, call *Call, backend *registrar.Backend, err error, started, now time.Time) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
 	var unknown *pollencrank.OutcomeUnknownError
 	if errors.As(err, &unknown) && unknown.Reason == pollencrank.ReasonDeadlinePassed {
 		usual := f.serviceTimes.Estimate(call.requestClass(), initialServiceTime(call))
-		backend.RecordTimeout(float64(took)/float64(usual), now)
+		backend.RecordTimeout(float64(now.Sub(started))/float64(usual), now)
 		return
 	}
 	var notRun *pollencrank.NotRunError
 	if !errors.As(err, &notRun) {
 		backend.RecordFailure(now)
-		f.recordCrash(call, backend, err)
+		f.recordCrash(call, backend, err, started, now)
 		return
 	}
 	switch notRun.Reason {
@@ -325,6 +341,20 @@
 	return selector.RequestClass{Route: c.Route.Name, Service: c.service.Name}
 }
 
+// placementKey returns the key by which the servers for the call are ordered. All copies
+// of a suspect about no object have the same key at every instance, so that copies that
+// are sent at the same time crash the same server.
+func (c *Call) placementKey() uint64 {
+	switch {
+	case c.isAboutObject():
+		return placer.Key(c.service.Name, c.ObjectKey)
+	case c.suspect != nil:
+		return placer.Key(c.service.Name, string(c.suspect[:]))
+	default:
+		return placer.Key(c.service.Name, c.Request.ID)
+	}
+}
+
 // isAboutObject reports whether the request concerns an object that servers answer
 // for faster once they have served it.
 func (c *Call) isAboutObject() bool { return c.ObjectKey != "" && c.Route.HasAffinity }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -127,6 +127,15 @@
 
 // forwardRequest forwards a request for an object.
 func (s *system) forwardRequest(ctx context.Context, object string) (*pollencrank.Answer, error) {
+	return s.forward(ctx, object, "/x")
+}
+
+// forwardURI forwards a request for one object with a URI of its own.
+func (s *system) forwardURI(ctx context.Context, uri string) (*pollencrank.Answer, error) {
+	return s.forward(ctx, "17", uri)
+}
+
+func (s *system) forward(ctx context.Context, object, uri string) (*pollencrank.Answer, error) {
 	s.requests++
 	table := router.NewTable(router.Configuration{Services: map[string]router.Service{
 		service: {Name: service, MaxConnections: 100, Warmup: 3 * time.Second, ColdRate: 6},
@@ -134,7 +143,7 @@
 	return s.Forward(ctx, &forwarder.Call{
 		Table: table, Route: &s.route, ObjectKey: object,
 		Request: &pollencrank.Request{
-			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(s.callerTimeout), Method: "GET", URI: "/x",
+			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(s.callerTimeout), Method: "GET", URI: uri,
 			Header:     http.Header{"X-Attempt-Id": {fmt.Sprint("request-", s.requests)}},
 			Idempotent: s.route.Kind.MayRepeat(),
 		},
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -23,14 +24,60 @@
 	Broadcast func(record isolator.Record)
 }
 
+// suspectRuns are the suspects that this instance has in flight, by server. It is safe
+// for concurrent use.
+type suspectRuns struct {
+	mu       sync.Mutex
+	byServer map[*registrar.Backend]map[isolator.Fingerprint]int
+}
+
+// begin adds a suspect that is sent to a server. The returned function removes it.
+func (r *suspectRuns) begin(backend *registrar.Backend, suspect isolator.Fingerprint) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byServer[backend] == nil {
+		r.byServer[backend] = map[isolator.Fingerprint]int{}
+	}
+	r.byServer[backend][suspect]++
+	return func() { r.end(backend, suspect) }
+}
+
+func (r *suspectRuns) end(backend *registrar.Backend, suspect isolator.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := r.byServer[backend]
+	running[suspect]--
+	if running[suspect] == 0 {
+		delete(running, suspect)
+	}
+	if len(running) == 0 {
+		delete(r.byServer, backend)
+	}
+}
+
+// hasOther reports whether a server runs a suspect other than the given one.
+func (r *suspectRuns) hasOther(backend *registrar.Backend, suspect isolator.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := r.byServer[backend]
+	return len(running) > 1 || (len(running) == 1 && running[suspect] == 0)
+}
+
 // refuseCrashing returns a NotRunError if earlier copies of the request crashed servers.
+// It marks the call as a suspect if one copy did.
 func (f *Forwarder) refuseCrashing(call *Call, now time.Time) error {
 	suspects := f.config.Suspects
+	call.suspect = nil
 	if suspects.Isolator.IsEmpty() {
 		return nil
 	}
-	verdict, until := suspects.Isolator.Check(fingerprint(call), now)
-	if verdict != isolator.Blocked {
+	print := fingerprint(call)
+	verdict, until := suspects.Isolator.Check(print, now)
+	switch verdict {
+	case isolator.NotSuspected:
+		return nil
+	case isolator.Suspect:
+		call.suspect = &print
 		return nil
 	}
 	err := pollencrank.NotRun(pollencrank.ReasonCrashesServers, "the request has crashed servers")
@@ -47,20 +94,27 @@
 // recordCrash records a strike against a request whose server crashed while running
 // it. It probes the server in the background first, because most broken connections
 // are not crashes.
-func (f *Forwarder) recordCrash(call *Call, backend *registrar.Backend, err error) {
+func (f *Forwarder) recordCrash(call *Call, backend *registrar.Backend, err error, beganAt, endedAt time.Time) {
 	var unknown *pollencrank.OutcomeUnknownError
 	if !errors.As(err, &unknown) || unknown.Reason != pollencrank.ReasonServerFailed {
 		return
 	}
-	server, id, requestFingerprint := backend.Server(), call.Request.ID, fingerprint(call)
-	go func() {
+	server, id := backend.Server(), call.Request.ID
+	crash := isolator.Crash{
+		Fingerprint:   fingerprint(call),
+		Server:        server.ID,
+		FailureDomain: server.FailureDomain,
+		BeganAt:       beganAt,
+		At:            endedAt,
+	}
+	f.crashChecks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		if !f.config.Suspects.IsDown(ctx, server.Address) {
 			return
 		}
+		record := f.config.Suspects.Isolator.RecordCrash(crash)
 		now := time.Now()
-		record := f.config.Suspects.Isolator.RecordCrash(requestFingerprint, now)
 		event := recorder.EventRequestSuspected
 		if record.Status(now) == isolator.Blocked {
 			event = recorder.EventRequestBlocked
@@ -69,9 +123,13 @@
 			slog.String("request", id), slog.String("server", server.ID), slog.Int("strikes", record.Crashes))
 		backend.MarkUnreachable(now)
 		f.config.Suspects.Broadcast(record)
-	}()
+	})
 }
 
+// Wait returns when the checks for crashes that run in the background have ended. No
+// request may be forwarded meanwhile.
+func (f *Forwarder) Wait() { f.crashChecks.Wait() }
+
 // crashCheckTimeout bounds the probe that checks whether a server is down.
 const crashCheckTimeout = 800 * time.Millisecond
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -122,6 +122,7 @@
 	isolator    *isolator.Isolator
 	sender      *dispatcher.Dispatcher
 	broadcaster *suspectBroadcaster
+	forwarder   *forwarder.Forwarder
 	relayer     *relayer.Relayer
 	idles       *relayer.IdleCloser
 	prober      *prober.Prober
@@ -186,10 +187,11 @@
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
+	h.forwarder = h.newForwarder()
 	h.relayer = relayer.New(relayer.Config{
 		Table:       h.table.Load,
 		Ready:       h.isConfigured,
-		Forwarder:   h.newForwarder(),
+		Forwarder:   h.forwarder,
 		Dialect:     config.Dialect,
 		SampleEvery: config.SampleEvery,
 		Log:         config.Log,
@@ -269,7 +271,10 @@
 	}
 	h.stop(callers)
 	h.tomb.Kill(nil)
-	return h.tomb.Wait()
+	err := h.tomb.Wait()
+	h.forwarder.Wait()
+	h.broadcaster.wait()
+	return err
 }
 
 // server is an http.Server or a pipeliner.Server.
--- a/hoster/suspects.go
+++ b/hoster/suspects.go
@@ -24,8 +24,9 @@
 	// suspectsPath is the path at which an instance receives the records of requests
 	// that crash servers.
 	suspectsPath = "/suspects"
-	// broadcastDelay is the time in which records are batched into one message.
-	broadcastDelay = 100 * time.Millisecond
+	// broadcastDelay is the time in which records are batched into one message. A caller
+	// that repeats a crashing request may overtake the record in it.
+	broadcastDelay = 10 * time.Millisecond
 	// broadcastTimeout limits the time to send one message, maxPendingRecords its
 	// number of records, and maxSuspectsBytes the size of a received message.
 	broadcastTimeout  = time.Second
@@ -47,8 +48,13 @@
 	peers  func() []namer.Instance
 	log    *slog.Logger
 
+	// sends counts the messages that are waiting or under way.
+	sends sync.WaitGroup
+
 	mu      sync.Mutex
 	pending []isolator.Record
+	// dropped is the number of records that did not fit in the next message.
+	dropped int
 }
 
 // enqueue adds a record to the next message. It drops the record if the message is full.
@@ -56,19 +62,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.pending) >= maxPendingRecords {
+		b.dropped++
 		return
 	}
 	b.pending = append(b.pending, record)
 	if len(b.pending) == 1 {
-		time.AfterFunc(broadcastDelay, b.send)
+		b.sends.Go(b.send)
 	}
 }
 
+// wait returns when the messages that are waiting or under way have been sent.
+func (b *suspectBroadcaster) wait() { b.sends.Wait() }
+
 func (b *suspectBroadcaster) send() {
+	time.Sleep(broadcastDelay)
 	b.mu.Lock()
-	pending := b.pending
-	b.pending = nil
+	pending, dropped := b.pending, b.dropped
+	b.pending, b.dropped = nil, 0
 	b.mu.Unlock()
+	if dropped > 0 {
+		b.log.Warn("records of suspects were dropped because too many arrived at once", recorder.EventRequestSuspected.Attr(), slog.Int("count", dropped))
+	}
 	var message []suspectRecord
 	for _, r := range pending {
 		message = append(message, suspectRecord{Fingerprint: hex.EncodeToString(r.Fingerprint[:]), Crashes: r.Crashes, Until: r.Until})
@@ -79,7 +93,7 @@
 		return
 	}
 	for _, peer := range b.peers() {
-		go b.sendTo(peer, body)
+		b.sends.Go(func() { b.sendTo(peer, body) })
 	}
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,11 +1,23 @@
 // Package isolator detects and blocks requests that crash backend servers.
 //
 // Every request that was in flight on a server when the server crashed is a suspect.
-// Suspects run one at a time on each entry, so that only one suspect is in flight at
-// the next crash, which identifies that suspect as the cause. The request is then blocked: it
-// is refused until its record expires. A suspect that a server answers is no longer
-// suspected. Records are sent to other entries before the caller of the crashed
-// request is answered, so that the entry that gets the caller's retry has them.
+// An entry never has two different suspects in flight on one server, so that the next
+// crash identifies the suspect that caused it. The request is then blocked: it is
+// refused until its record expires. A suspect that a server answers is no longer
+// suspected.
+//
+// Two crashes identify a request only if the second one is evidence of its own:
+//
+//   - The second attempt began after the first crash. Servers that end at the same
+//     moment, because their failure domain loses its power, are one event, however
+//     many copies of a request they ran.
+//   - No other server of the failure domain, on which the request did not run, ended
+//     within commonCauseWindow of the second one. One that ends later withdraws the
+//     block again.
+//
+// Records are sent to other entries at once, but the caller of the crashed request may
+// be answered before they arrive: each retry that overtakes them costs at most one
+// more server.
 //
 // # Usage
 //
@@ -18,13 +30,14 @@
 //		runAlone()
 //	}
 //	// After the server crashed:
-//	record := i.RecordCrash(fingerprint, now)
+//	record := i.RecordCrash(isolator.Crash{Fingerprint: fingerprint, Server: id, BeganAt: sentAt, At: now})
 package isolator
 
 import (
 	"crypto/sha256"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,8 +52,16 @@
 	DefaultMaxRecords = 4096
 )
 
-// blockingCrashes is the number of crashes after which a request is blocked.
-const blockingCrashes = 2
+const (
+	// blockingCrashes is the number of crashes after which a request is blocked.
+	blockingCrashes = 2
+	// commonCauseWindow is the time within which the ends of servers of one failure
+	// domain count as one event.
+	commonCauseWindow = time.Second
+	// maxRecentCrashes bounds the number of crashes that are kept to detect a common
+	// cause.
+	maxRecentCrashes = 256
+)
 
 // fingerprintBytes is the length of a Fingerprint.
 const fingerprintBytes = 16
@@ -83,8 +104,19 @@
 	Blocked
 )
 
-// Record is a fingerprint with the number of crashes during which such a request was
-// in flight.
+// Crash is the crash of a server while it ran a request.
+type Crash struct {
+	Fingerprint Fingerprint
+	// Server and FailureDomain are the server that crashed and its failure domain.
+	Server        string
+	FailureDomain string
+	// BeganAt is when the request was sent to the server, and At when the server ended.
+	BeganAt time.Time
+	At      time.Time
+}
+
+// Record is a fingerprint with the number of independent crashes during which such a
+// request was in flight.
 type Record struct {
 	Fingerprint Fingerprint
 	Crashes     int
@@ -120,6 +152,13 @@
 
 	mu      sync.Mutex
 	records map[Fingerprint]Record
+	// knownSince is when the latest crash of a record happened, or when the record of
+	// another entry arrived. Attempts that began earlier are no further evidence.
+	knownSince map[Fingerprint]time.Time
+	// counted are the latest crashes that counted as evidence.
+	counted map[Fingerprint]Crash
+	// recent are the crashes within commonCauseWindow of the latest one.
+	recent []Crash
 	// size is the number of records, which IsEmpty reads without the lock.
 	size atomic.Int64
 }
@@ -135,7 +174,7 @@
 	if config.MaxRecords <= 0 {
 		config.MaxRecords = DefaultMaxRecords
 	}
-	return &Isolator{config: config, records: map[Fingerprint]Record{}}
+	return &Isolator{config: config, records: map[Fingerprint]Record{}, knownSince: map[Fingerprint]time.Time{}, counted: map[Fingerprint]Crash{}}
 }
 
 // IsEmpty reports whether there are no records, so that callers need not compute
@@ -145,6 +184,8 @@
 // remove deletes a record. The caller must hold the lock.
 func (i *Isolator) remove(f Fingerprint) {
 	delete(i.records, f)
+	delete(i.knownSince, f)
+	delete(i.counted, f)
 	i.size.Store(int64(len(i.records)))
 }
 
@@ -165,23 +206,84 @@
 
 // RecordCrash records that a server crashed while a request was in flight on it. It
 // returns the record to send to other entries.
-func (i *Isolator) RecordCrash(f Fingerprint, now time.Time) Record {
+func (i *Isolator) RecordCrash(crash Crash) Record {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	r := i.records[f]
+	now := crash.At
+	r := i.records[crash.Fingerprint]
 	if r.Status(now) == NotSuspected {
-		r = Record{Fingerprint: f}
+		r = Record{Fingerprint: crash.Fingerprint}
+	}
+	i.addRecent(crash)
+	i.withdrawRefuted(crash)
+	if r.Crashes == 0 || i.isEvidence(crash) {
+		r.Crashes++
+		i.counted[crash.Fingerprint] = crash
 	}
-	r.Crashes++
 	lifetime := i.config.SuspectTTL
 	if r.Crashes >= blockingCrashes {
 		lifetime = i.config.BlockTTL
 	}
 	r.Until = now.Add(lifetime)
 	i.store(r, now)
+	i.knownSince[crash.Fingerprint] = now
 	return r
 }
 
+// isEvidence reports whether a further crash during a suspect is independent of the
+// crashes before it. The caller must hold the lock.
+func (i *Isolator) isEvidence(crash Crash) bool {
+	if crash.BeganAt.Before(i.knownSince[crash.Fingerprint]) {
+		return false
+	}
+	for _, c := range i.recent {
+		if i.refutes(c, crash) {
+			return false
+		}
+	}
+	return true
+}
+
+// refutes reports whether one crash shows that another one had a common cause: a server
+// of the same failure domain, on which the request did not run, ended within
+// commonCauseWindow. The caller must hold the lock.
+func (i *Isolator) refutes(c, crash Crash) bool {
+	if c.FailureDomain != crash.FailureDomain || c.At.Sub(crash.At).Abs() >= commonCauseWindow {
+		return false
+	}
+	return !slices.ContainsFunc(i.recent, func(r Crash) bool {
+		return r.Fingerprint == crash.Fingerprint && r.Server == c.Server
+	})
+}
+
+// withdrawRefuted withdraws the latest evidence of the requests that a crash shows to
+// have been wrongly blocked. The caller must hold the lock.
+func (i *Isolator) withdrawRefuted(crash Crash) {
+	for f, counted := range i.counted {
+		r := i.records[f]
+		if r.Crashes >= blockingCrashes && i.refutes(crash, counted) {
+			r.Crashes--
+			i.records[f] = r
+			delete(i.counted, f)
+		}
+	}
+}
+
+// addRecent adds a crash to the recent ones and removes those that are too old. The
+// caller must hold the lock.
+func (i *Isolator) addRecent(crash Crash) {
+	kept := i.recent[:0]
+	for _, c := range i.recent {
+		if crash.At.Sub(c.At) < commonCauseWindow {
+			kept = append(kept, c)
+		}
+	}
+	if len(kept) >= maxRecentCrashes {
+		kept = kept[1:]
+	}
+	i.recent = append(kept, crash)
+}
+
 // Merge adds records of other entries. A record replaces one of lower severity only.
 func (i *Isolator) Merge(records []Record, now time.Time) {
 	i.mu.Lock()
@@ -192,6 +294,7 @@
 		existing := i.records[r.Fingerprint]
 		if r.Status(now) > existing.Status(now) {
 			i.store(r, now)
+			i.knownSince[r.Fingerprint] = now
 		}
 	}
 }
@@ -229,7 +332,7 @@
 	var first Record
 	for f, r := range i.records {
 		if r.Status(now) == NotSuspected {
-			delete(i.records, f)
+			i.remove(f)
 			continue
 		}
 		if first.Until.IsZero() || r.Until.Before(first.Until) {
@@ -237,6 +340,6 @@
 		}
 	}
 	if len(i.records) >= i.config.MaxRecords {
-		delete(i.records, first.Fingerprint)
+		i.remove(first.Fingerprint)
 	}
 }
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -1,6 +1,7 @@
 package isolator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,14 +22,22 @@
 	return v
 }
 
+// crash records that a request crashed its server at once, in a failure domain in which
+// no other request does.
+func crash(i *isolator.Isolator, n int, now time.Time) isolator.Record {
+	return i.RecordCrash(isolator.Crash{
+		Fingerprint: fingerprint(n), Server: fmt.Sprint("server-", n), FailureDomain: fmt.Sprint("domain-", n), BeganAt: now, At: now,
+	})
+}
+
 func TestTheSecondCrashBlocks(t *testing.T) {
 	i := isolator.New(isolator.Config{})
 	require.True(t, i.IsEmpty())
 	require.Equal(t, isolator.NotSuspected, statusOf(i, 1, start))
-	i.RecordCrash(fingerprint(1), start)
+	crash(i, 1, start)
 	require.Equal(t, isolator.Suspect, statusOf(i, 1, start))
 	require.Equal(t, isolator.NotSuspected, statusOf(i, 2, start))
-	i.RecordCrash(fingerprint(1), start)
+	crash(i, 1, start)
 	require.Equal(t, isolator.Blocked, statusOf(i, 1, start))
 	require.Equal(t, isolator.Blocked, statusOf(i, 1, start.Add(isolator.DefaultBlockTTL-1)))
 	require.Equal(t, isolator.NotSuspected, statusOf(i, 1, start.Add(isolator.DefaultBlockTTL)))
@@ -37,19 +46,19 @@
 
 func TestAnAnsweredSuspectIsNoLongerSuspected(t *testing.T) {
 	i := isolator.New(isolator.Config{})
-	i.RecordCrash(fingerprint(1), start)
+	crash(i, 1, start)
 	i.RecordAnswer(fingerprint(1), start)
 	require.Equal(t, isolator.NotSuspected, statusOf(i, 1, start))
-	i.RecordCrash(fingerprint(2), start)
-	i.RecordCrash(fingerprint(2), start)
+	crash(i, 2, start)
+	crash(i, 2, start)
 	i.RecordAnswer(fingerprint(2), start)
 	require.Equal(t, isolator.Blocked, statusOf(i, 2, start))
 }
 
 func TestAnExpiredSuspicionDoesNotBlock(t *testing.T) {
 	i := isolator.New(isolator.Config{})
-	i.RecordCrash(fingerprint(1), start)
-	i.RecordCrash(fingerprint(1), start.Add(isolator.DefaultSuspectTTL))
+	crash(i, 1, start)
+	crash(i, 1, start.Add(isolator.DefaultSuspectTTL))
 	require.Equal(t, isolator.Suspect, statusOf(i, 1, start.Add(isolator.DefaultSuspectTTL)))
 }
 
@@ -87,7 +96,7 @@
 			before := statusOf(i, n, now)
 			switch rapid.IntRange(0, 2).Draw(t, "action") {
 			case 0:
-				require.Greater(t, i.RecordCrash(fingerprint(n), now).Crashes, 0)
+				require.Greater(t, crash(i, n, now).Crashes, 0)
 				require.Equal(t, min(before+1, isolator.Blocked), statusOf(i, n, now))
 			case 1:
 				i.Merge([]isolator.Record{{
