fix: claims on one key at the same time leave a copy of the one that is granted

Cause: three ways by which the only copy of a granted claim was lost, so that an order could run twice after a crash of the home. (a) two claims at one entry both passed lookup, and Table.claim overwrote the first record; its release removed the only copy, and the overwritten record stayed in the expiry heap. (b) the second copy of the home's own claim was dropped without a word by an entry whose claim on the key was still under way. (c) an expired record that nobody had looked up made the holder drop a new copy. Change: Table.claim looks up and adds in one step; a claim that its home has not granted yet is tentative and gives way to a copy of another one, and is confirmed when it is granted; a holder that cannot keep the second copy of a claim in the making refuses it (ConflictError), so that the sender tries the next one or does not run the request.

--- a/deduplicator/abandoned_test.go
+++ b/deduplicator/abandoned_test.go
@@ -67,10 +67,10 @@
 		require.Equal(t, peerpb.ClaimResponse_VERDICT_GRANTED, r.claim("entry-1", claim))
 		home := r.nodes[homeOf(r, "k")]
 		const older = 7
-		home.HandleHandOver(&peerpb.HandOverClaimsRequest{From: "entry-9", Claims: []*peerpb.ClaimRecord{{
+		require.NoError(t, home.HandleHandOver(&peerpb.HandOverClaimsRequest{From: "entry-9", Claims: []*peerpb.ClaimRecord{{
 			Key: "k", Executor: "entry-1", ClaimId: older, Fingerprint: []byte("order"),
 			ExpiresUnixMs: claim.Expires.UnixMilli(), RunningUntilUnixMs: claim.Deadline.UnixMilli(),
-		}}})
+		}}}))
 		home.HandleSettle(&peerpb.SettleRequest{
 			Key: "k", Executor: "entry-1", ClaimId: older, Result: peerpb.SettleRequest_RESULT_NOT_RUN,
 		})
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -230,8 +230,8 @@
 // claimAtRemoteHome claims a key whose home is another instance. This instance
 // holds the second copy of the claim.
 func (d *Deduplicator) claimAtRemoteHome(ctx context.Context, home pollencrank.Instance, claim *Claim, request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
-	if !d.addLocally(request) {
-		return verdict(peerpb.ClaimResponse_VERDICT_FULL, "too many claims")
+	if refusal := d.addTentatively(request); refusal != nil {
+		return refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -240,7 +240,7 @@
 		response = verdict(peerpb.ClaimResponse_VERDICT_UNREACHABLE, "the key's home does not answer")
 	}
 	if response.Verdict == peerpb.ClaimResponse_VERDICT_GRANTED {
-		return response
+		return d.confirm(home, claim, request, response)
 	}
 	// If the answer was lost, the home may hold the claim. The claim is released
 	// there, because nothing has run under it.
@@ -253,13 +253,37 @@
 	return response
 }
 
-// addLocally adds a claim to the table of this instance and reports whether there
-// was room.
-func (d *Deduplicator) addLocally(request *peerpb.ClaimRequest) bool {
+// confirm marks a claim that its home has granted as granted here. If another instance's
+// claim on the key arrived meanwhile, the request must not run: confirm releases the
+// claim at its home and returns the verdict for the other one.
+func (d *Deduplicator) confirm(home pollencrank.Instance, claim *Claim, request *peerpb.ClaimRequest, granted *peerpb.ClaimResponse) *peerpb.ClaimResponse {
+	d.mu.Lock()
+	existing := d.table.confirm(time.Now(), recordOf(request))
+	d.mu.Unlock()
+	if existing == nil {
+		return granted
+	}
+	claim.abandoned = append(claim.abandoned, request.ClaimId)
+	go d.sendResult(home, notRunResult(request.Key, request.Executor, request.ClaimId))
+	return existing
+}
+
+// addTentatively adds a claim that the key's home has not granted yet to the table of this
+// instance. It returns the verdict for the key if the table has a claim on it or is full.
+func (d *Deduplicator) addTentatively(request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
+	r := recordOf(request)
+	r.isTentative = true
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.claim(time.Now(), r)
+}
+
+// addLocally adds a claim to the table of this instance. It returns the verdict for the
+// key if the table has a claim on it or is full.
+func (d *Deduplicator) addLocally(request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.expire(time.Now())
-	return d.table.claim(recordOf(request))
+	return d.table.claim(time.Now(), recordOf(request))
 }
 
 func recordOf(request *peerpb.ClaimRequest) *record {
@@ -303,14 +327,8 @@
 	if existing := d.recoverClaim(ctx, request); existing != nil {
 		return existing
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	// Another claim on the key may have arrived while the members were queried.
-	if existing := d.table.lookup(time.Now(), request.Key, request.Fingerprint); existing != nil {
-		return existing
-	}
-	if !d.table.claim(recordOf(request)) {
-		return verdict(peerpb.ClaimResponse_VERDICT_FULL, "too many claims")
+	if refusal := d.addLocally(request); refusal != nil {
+		return refusal
 	}
 	return verdict(peerpb.ClaimResponse_VERDICT_GRANTED, "")
 }
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -107,10 +107,15 @@
 }
 
 func (p *peer) HandOverClaims(_ context.Context, to string, request *peerpb.HandOverClaimsRequest) (*peerpb.HandOverClaimsResponse, error) {
-	return deliver(p, to, func(d *deduplicator.Deduplicator) *peerpb.HandOverClaimsResponse {
-		d.HandleHandOver(request)
+	var refusal error
+	response, err := deliver(p, to, func(d *deduplicator.Deduplicator) *peerpb.HandOverClaimsResponse {
+		refusal = d.HandleHandOver(request)
 		return &peerpb.HandOverClaimsResponse{}
 	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	return response, err
 }
 
 const (
--- a/deduplicator/handover.go
+++ b/deduplicator/handover.go
@@ -15,14 +15,33 @@
 	handOverTimeout = 2 * time.Second
 )
 
-// HandleHandOver adds the claims in another instance's hand-over to the table.
-func (d *Deduplicator) HandleHandOver(request *peerpb.HandOverClaimsRequest) {
+// ConflictError reports that an instance cannot hold the second copy of a claim, because
+// it holds another claim on the key.
+type ConflictError struct{ Key string }
+
+// Error implements error.
+func (e *ConflictError) Error() string { return "another claim on key " + e.Key + " is held" }
+
+// HandleHandOver adds the claims in another instance's hand-over to the table. It returns
+// a ConflictError if the request is the second copy of a claim in the making that the table
+// cannot hold: the request must not run then.
+func (d *Deduplicator) HandleHandOver(request *peerpb.HandOverClaimsRequest) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, m := range request.Claims {
-		d.table.takeOver(m, now)
+		if !d.table.takeOver(m, now) && isInTheMaking(request) {
+			return &ConflictError{Key: m.Key}
+		}
 	}
+	return nil
+}
+
+// isInTheMaking reports whether a hand-over is the second copy of a claim that its sender
+// makes as the key's home.
+func isInTheMaking(request *peerpb.HandOverClaimsRequest) bool {
+	return len(request.Claims) == 1 && request.Claims[0].Executor == request.From &&
+		request.Claims[0].Result == peerpb.SettleRequest_RESULT_UNSPECIFIED
 }
 
 // HandOver sends every claim to its next two holders and returns the number of
--- a/deduplicator/table.go
+++ b/deduplicator/table.go
@@ -50,7 +50,10 @@
 	expires      time.Time
 	result       peerpb.SettleRequest_Result
 	answer       *peerpb.RecordedAnswer
-	heapIndex    int
+	// isTentative says that the key's home has not granted the claim yet. Nothing runs
+	// under it.
+	isTentative bool
+	heapIndex   int
 }
 
 // Table stores the claims that one instance holds. Memory is bounded: a claim
@@ -99,14 +102,30 @@
 	return &peerpb.ClaimResponse{Verdict: v, Detail: detail}
 }
 
-// claim adds a claim on a key that has none and reports whether there was room.
-func (t *Table) claim(r *record) bool {
+// claim adds a claim and returns nil. If the table has a claim on the key or is full, it
+// returns the verdict for the key and changes nothing: another claim may have been added
+// since the caller looked the key up.
+func (t *Table) claim(now time.Time, r *record) *peerpb.ClaimResponse {
+	if existing := t.lookup(now, r.key, r.fingerprint); existing != nil {
+		return existing
+	}
 	if len(t.records) >= t.maxClaims {
-		return false
+		return verdict(peerpb.ClaimResponse_VERDICT_FULL, "too many claims")
 	}
 	t.records[r.key] = r
 	heap.Push(&t.expiry, r)
-	return true
+	return nil
+}
+
+// confirm marks a tentative claim as granted and returns nil. If another instance's claim
+// has replaced it, confirm returns the verdict for that one.
+func (t *Table) confirm(now time.Time, r *record) *peerpb.ClaimResponse {
+	current := t.records[r.key]
+	if current != nil && current.id == r.id {
+		current.isTentative = false
+		return nil
+	}
+	return t.claim(now, r)
 }
 
 // settle records the result of a claim. A claim whose request certainly did not
@@ -149,21 +168,23 @@
 	}
 }
 
-// takeOver adds a claim that another instance hands over. It ignores the claim if
-// the table already has a result for the key, or a different claim on the key
-// while the handed-over claim has no result: the handed-over claim was then
-// abandoned, and its release must not release the claim in the table.
-func (t *Table) takeOver(m *peerpb.ClaimRecord, now time.Time) {
+// takeOver adds a claim that another instance hands over, in place of a tentative one.
+// It reports false and changes nothing if the table already has a result for the key,
+// or a different granted claim on the key while the handed-over claim has no result: the
+// handed-over claim was then abandoned, and its release must not release the claim in
+// the table.
+func (t *Table) takeOver(m *peerpb.ClaimRecord, now time.Time) bool {
+	t.expire(now)
 	r := fromMessage(m)
 	if !now.Before(r.expires) {
-		return
+		return true
 	}
 	existing := t.records[r.key]
 	if existing != nil && existing.result != peerpb.SettleRequest_RESULT_UNSPECIFIED {
-		return
+		return existing.id == r.id
 	}
-	if existing != nil && existing.id != r.id && r.result == peerpb.SettleRequest_RESULT_UNSPECIFIED {
-		return
+	if existing != nil && !existing.isTentative && existing.id != r.id && r.result == peerpb.SettleRequest_RESULT_UNSPECIFIED {
+		return false
 	}
 	if existing != nil {
 		t.remove(existing)
@@ -173,6 +194,7 @@
 	answer := r.answer
 	r.answer = nil
 	t.setAnswer(r, answer)
+	return true
 }
 
 func fromMessage(m *peerpb.ClaimRecord) *record {
--- a/messenger/handler.go
+++ b/messenger/handler.go
@@ -27,7 +27,7 @@
 type ClaimHandler interface {
 	HandleClaim(ctx context.Context, request *peerpb.ClaimRequest) *peerpb.ClaimResponse
 	HandleSettle(request *peerpb.SettleRequest)
-	HandleHandOver(request *peerpb.HandOverClaimsRequest)
+	HandleHandOver(request *peerpb.HandOverClaimsRequest) error
 }
 
 // OwnerHandler releases backend servers whose new owner is another entry.
@@ -118,7 +118,9 @@
 
 // HandOverClaims implements peerpbconnect.PeerServiceHandler.
 func (h *handler) HandOverClaims(_ context.Context, request *connect.Request[peerpb.HandOverClaimsRequest]) (*connect.Response[peerpb.HandOverClaimsResponse], error) {
-	h.config.Claims.HandleHandOver(request.Msg)
+	if err := h.config.Claims.HandleHandOver(request.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeAborted, err)
+	}
 	return connect.NewResponse(&peerpb.HandOverClaimsResponse{}), nil
 }
 
