fix: faults that readers came across: pacing, windows of budgets, summaries, previews, command line

Removed, without a caller: messenger.Client.Keep, registrar.All, runner.finished. Struck: isIdempotent accepts either workload or method as its comment says; OnArrival counts refused requests because the planner needs the demand; a planned stop waits 45% of its time so that callers notice; NearestRegion knows regions only, as its comment says.

--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -54,6 +54,9 @@
 type Certifier struct {
 	config  Config
 	current atomic.Pointer[credentials]
+	// lastFault is why the files could not be used at the last reload, so that a lasting
+	// fault is logged once.
+	lastFault string
 }
 
 // New loads the files.
@@ -119,9 +122,13 @@
 func (c *Certifier) Reload() {
 	loaded, err := c.load()
 	if err != nil {
-		c.config.Log.Error("the changed certificate cannot be used; the current one stays", recorder.EventCertificateInvalid.Attr(), slog.String("error", err.Error()))
+		if fault := err.Error(); fault != c.lastFault {
+			c.config.Log.Error("the changed certificate cannot be used; the current one stays", recorder.EventCertificateInvalid.Attr(), slog.String("error", fault))
+			c.lastFault = fault
+		}
 		return
 	}
+	c.lastFault = ""
 	if sameFiles(c.current.Load().raw, loaded.raw) {
 		return
 	}
--- a/cmd/pollencrank/operate.go
+++ b/cmd/pollencrank/operate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -182,15 +183,15 @@
 	if err != nil {
 		return err
 	}
+	if !c.All {
+		history = slices.DeleteFunc(history, func(a acceptor.Accepted) bool { return a.Automatic })
+	}
 	if done, err := c.printJSON(history); done {
 		return err
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "generation\taccepted\tauthor\tchange")
 	for _, a := range history {
-		if a.Automatic && !c.All {
-			continue
-		}
 		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", a.Generation, a.At.UTC().Format(time.RFC3339), a.Author, a.Summary)
 	}
 	return table.Flush()
@@ -240,11 +241,16 @@
 	for err == nil && c.Wait && !status.InForceEverywhere {
 		select {
 		case <-ctx.Done():
-			_ = c.print(status)
-			return errNotInForceEverywhere
+			return errors.Join(c.print(status), errNotInForceEverywhere)
 		case <-time.After(statusPollInterval):
 		}
-		status, err = c.client().Status(ctx)
+		var next administrator.Status
+		next, err = c.client().Status(ctx)
+		if err != nil && ctx.Err() != nil {
+			// The wait ended during the call.
+			return errors.Join(c.print(status), errNotInForceEverywhere)
+		}
+		status = next
 	}
 	if err != nil {
 		return err
--- a/cmd/pollencrank/soak.go
+++ b/cmd/pollencrank/soak.go
@@ -97,6 +97,9 @@
 	return strings.Join(names, ", ")
 }
 
+// maxSeeds bounds the number of seeds of one range.
+const maxSeeds = 100_000
+
 // seeds returns the seeds to run: those of the file first, then those of the flag.
 func (c *soakCommand) seeds() ([]uint64, error) {
 	var seeds []uint64
@@ -133,8 +136,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("--seeds: %q is no seed", last)
 		}
-		for seed := from; seed <= to; seed++ {
-			seeds = append(seeds, seed)
+		if to < from || to-from >= maxSeeds {
+			return nil, fmt.Errorf("--seeds: %q is not a range of at most %d seeds", part, maxSeeds)
+		}
+		for n := range to - from + 1 {
+			seeds = append(seeds, from+n)
 		}
 	}
 	return seeds, nil
--- a/deduplicator/concurrent_test.go
+++ b/deduplicator/concurrent_test.go
@@ -132,7 +132,9 @@
 		})
 		key := keyWithHome(r, "entry-0")
 		var wait sync.WaitGroup
-		wait.Go(func() { require.Equal(t, peerpb.ClaimResponse_VERDICT_RUNNING, r.claim("entry-1", newClaim(key, "order"))) })
+		wait.Go(func() {
+			require.Equal(t, peerpb.ClaimResponse_VERDICT_RUNNING, r.claim("entry-1", newClaim(key, "order")))
+		})
 		time.Sleep(50 * time.Millisecond)
 		require.Equal(t, peerpb.ClaimResponse_VERDICT_GRANTED, r.claim("entry-0", newClaim(key, "order")))
 		wait.Wait()
--- a/forwarder/budgets.go
+++ b/forwarder/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"sync"
+	"time"
 
 	"github.com/pollencrank/pollencrank/limiter"
 )
@@ -40,8 +41,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.config = config
+	now := time.Now()
 	for _, budget := range b.services {
-		budget.SetConfig(config)
+		budget.SetConfig(config, now)
 	}
 }
 
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -51,13 +51,19 @@
 	b.instances = max(instances, 1)
 }
 
-// SetConfig changes the fleet's budget. The counted requests and retries stay.
-func (b *WindowBudget) SetConfig(config WindowConfig) {
+// SetConfig changes the fleet's budget. The counted requests and retries stay: the current
+// bucket remains the current one if the length of the window changes.
+func (b *WindowBudget) SetConfig(config WindowConfig, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.advance(now)
 	b.config = config
+	b.startedAt = now.Add(-time.Duration(b.bucket) * b.span())
 }
 
+// span returns the length of a bucket. The caller must hold the lock.
+func (b *WindowBudget) span() time.Duration { return max(b.config.Window/windowBuckets, 1) }
+
 // Deposit counts a request.
 func (b *WindowBudget) Deposit(now time.Time) {
 	b.mu.Lock()
@@ -83,11 +89,10 @@
 // advance moves to the bucket of now and clears the buckets that have expired. The
 // caller must hold the lock.
 func (b *WindowBudget) advance(now time.Time) {
-	span := max(b.config.Window/windowBuckets, 1)
 	if b.startedAt.IsZero() {
 		b.startedAt = now
 	}
-	bucket := int64(now.Sub(b.startedAt) / span)
+	bucket := int64(now.Sub(b.startedAt) / b.span())
 	if bucket-b.bucket >= windowBuckets || bucket < b.bucket {
 		b.requests = [windowBuckets]int{}
 		b.retries = [windowBuckets]int{}
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -72,10 +72,24 @@
 	b := limiter.NewWindowBudget(limiter.WindowConfig{Extra: 10, Window: 10 * time.Second}, 1)
 	for b.Withdraw(windowStart) {
 	}
-	b.SetConfig(limiter.WindowConfig{Extra: 20, Window: 10 * time.Second})
+	b.SetConfig(limiter.WindowConfig{Extra: 20, Window: 10 * time.Second}, windowStart)
 	granted := 0
 	for b.Withdraw(windowStart) {
 		granted++
 	}
 	require.Equal(t, 8, granted, "0.8 of 20, less the 8 that were granted before")
 }
+
+// A change of the window's length must neither clear the counts nor skip buckets.
+func TestAChangedWindowKeepsItsCounts(t *testing.T) {
+	for _, window := range []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute} {
+		b := limiter.NewWindowBudget(limiter.WindowConfig{Extra: 10, Window: time.Minute}, 1)
+		b.Deposit(windowStart)
+		now := windowStart.Add(40 * time.Second)
+		for b.Withdraw(now) {
+		}
+		b.SetConfig(limiter.WindowConfig{Extra: 10, Window: window}, now)
+		require.False(t, b.Withdraw(now), "window %v", window)
+		require.True(t, b.Withdraw(now.Add(2*window)), "window %v", window)
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -141,21 +141,6 @@
 	return p
 }
 
-// Keep removes the service clients of the peers whose addresses are not listed.
-func (c *Client) Keep(addresses []string) {
-	keep := make(map[string]bool, len(addresses))
-	for _, a := range addresses {
-		keep[a] = true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address := range c.peers {
-		if !keep[address] {
-			delete(c.peers, address)
-		}
-	}
-}
-
 // unary performs a unary call and returns the message of the response.
 func unary[Request, Response any](
 	ctx context.Context,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -96,15 +96,34 @@
 	return administrator.Change{OperationID: rand.Text(), Author: c.config.Author, Expect: expect}
 }
 
-// maxChangeAttempts is how often a change is proposed while its outcome is unknown.
-const maxChangeAttempts = 3
+const (
+	// maxChangeAttempts is how often a change is proposed while its outcome is unknown.
+	maxChangeAttempts = 3
+	// changeRetryPause is the time between two attempts.
+	changeRetryPause = 200 * time.Millisecond
+)
+
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
 
 // propose sends a change, and sends it again while its outcome is unknown: if the
 // call fails without a response, or the entry reports an unknown outcome.
 func propose(ctx context.Context, c *Client, method, path string, body any) (acceptor.Accepted, error) {
 	var accepted acceptor.Accepted
 	var err error
-	for range maxChangeAttempts {
+	for attempt := range maxChangeAttempts {
+		if attempt > 0 && !pause(ctx, changeRetryPause) {
+			return accepted, err
+		}
 		accepted, err = call[acceptor.Accepted](ctx, c, method, path, body)
 		problem, isProblem := err.(*ProblemError)
 		if err == nil || (isProblem && problem.Problem.Kind != administrator.ProblemUnknown) {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,9 +1,10 @@
 // Package pacer limits the rate of bytes sent over a link to an allowance. The
 // most urgent rank is sent first.
 //
-// A transfer reserves its expected bytes before it begins, and is refused if the
-// earlier reservations leave too little time before its deadline. The reservation keeps a transfer that
-// has begun from stalling half-way because of later ones.
+// A transfer reserves its expected bytes before it begins. It is refused if the earlier
+// reservations leave too little time before its deadline, or if an earlier transfer of
+// its rank could no longer end in time: transfers of one rank share the rate equally. A
+// more urgent transfer may make a less urgent one late.
 //
 // # Usage
 //
@@ -57,6 +58,8 @@
 	// reserved bytes that are not sent yet, both by rank.
 	waiting  [pollencrank.RankCount]int
 	reserved [pollencrank.RankCount]int64
+	// active are the transfers that have not ended, by rank.
+	active [pollencrank.RankCount]map[*Transfer]struct{}
 	// offered counts the bytes that were sent or refused, to size the next
 	// allowance.
 	offered int64
@@ -85,8 +88,9 @@
 	pacer *Pacer
 	rank  pollencrank.Rank
 	// unsent is the part of the reserved bytes that is not sent yet.
-	unsent int64
-	ended  bool
+	unsent   int64
+	deadline time.Time
+	ended    bool
 }
 
 // Begin reserves the expected bytes of a transfer. It returns a NotRunError if
@@ -102,13 +106,37 @@
 	for _, bytes := range p.reserved[:rank+1] {
 		ahead += bytes
 	}
-	if rate <= 0 || float64(ahead) > rate*time.Until(deadline).Seconds() {
+	if rate <= 0 || float64(ahead) > rate*time.Until(deadline).Seconds() || p.delaysAnother(rank, expected, rate) {
 		err := pollencrank.NotRun(pollencrank.ReasonLinkFull, "%d bytes are ahead on a link of %.0f bytes/s", ahead-expected, rate)
 		err.RetryAt = time.Now().Add(time.Second)
 		return nil, err
 	}
 	p.reserved[rank] += expected
-	return &Transfer{pacer: p, rank: rank, unsent: expected}, nil
+	t := &Transfer{pacer: p, rank: rank, unsent: expected, deadline: deadline}
+	if p.active[rank] == nil {
+		p.active[rank] = map[*Transfer]struct{}{}
+	}
+	p.active[rank][t] = struct{}{}
+	return t, nil
+}
+
+// delaysAnother reports whether a further transfer of a rank would make an earlier one of
+// that rank late which would else end in time. The caller holds the lock.
+func (p *Pacer) delaysAnother(rank pollencrank.Rank, expected int64, rate float64) bool {
+	urgent := int64(0)
+	for _, bytes := range p.reserved[:rank] {
+		urgent += bytes
+	}
+	same, count := p.reserved[rank], int64(len(p.active[rank]))
+	for t := range p.active[rank] {
+		room := rate * time.Until(t.deadline).Seconds()
+		before := float64(urgent + min(same, count*t.unsent))
+		after := float64(urgent + min(same+expected, (count+1)*t.unsent))
+		if before <= room && after > room {
+			return true
+		}
+	}
+	return false
 }
 
 // waitForRate returns the rate. If there is no allowance, it requests one and
@@ -202,6 +230,7 @@
 		return
 	}
 	t.ended = true
+	delete(t.pacer.active[t.rank], t)
 	t.pacer.reserved[t.rank] -= t.unsent
 }
 
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -117,6 +117,23 @@
 	})
 }
 
+// A transfer that has begun still ends in time if a later one of its rank has much time.
+func TestALaterTransferDoesNotMakeAnEarlierOneLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pacer.New(pacer.Config{Rate: constantRate(rate)})
+		var group sync.WaitGroup
+		group.Go(func() {
+			started := time.Now()
+			require.NoError(t, send(p, pollencrank.RankBackground, 2*rate, 3*time.Second, func(int) {}))
+			require.Less(t, time.Since(started), 3*time.Second)
+		})
+		synctest.Wait()
+		require.Error(t, send(p, pollencrank.RankBackground, 4*rate, 20*time.Second, func(int) {}))
+		require.NoError(t, send(p, pollencrank.RankBackground, rate/2, 20*time.Second, func(int) {}))
+		group.Wait()
+	})
+}
+
 // Without an allowance nothing is sent, and a transfer that begins requests one.
 func TestNothingIsSentWithoutAnAllowance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -218,7 +218,7 @@
 
 // prefersFar reports whether an object's first server is far.
 func (t *Table) prefersFar(key uint64) bool {
-	return uniform(pollencrank.Mix(key^nearSalt)) >= t.nearShare
+	return pollencrank.Uniform(pollencrank.Mix(key^nearSalt)) >= t.nearShare
 }
 
 // scored is a candidate and its score for an object.
@@ -238,7 +238,7 @@
 // score returns the score of a server in weighted rendezvous hashing: the probability
 // that a server has the highest score is proportional to its slots.
 func (s *serverGroup) score(i int, key uint64) scored {
-	u := uniform(pollencrank.Mix(key ^ s.hashes[i]))
+	u := pollencrank.Uniform(pollencrank.Mix(key ^ s.hashes[i]))
 	return scored{index: s.indices[i], score: -s.slots[i] / math.Log(u)}
 }
 
@@ -271,16 +271,10 @@
 // pick returns the position in indices of a server drawn by key, with a probability
 // proportional to its slots.
 func (s *serverGroup) pick(key uint64) int {
-	at, _ := slices.BinarySearch(s.sums, uniform(key)*s.total())
+	at, _ := slices.BinarySearch(s.sums, pollencrank.Uniform(key)*s.total())
 	return min(at, max(len(s.indices)-1, 0))
 }
 
-// uniform maps a hash to the open interval from 0 to 1.
-func uniform(hash uint64) float64 {
-	const bits = 53
-	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-}
-
 // interleave appends the indices of both lists alternately, up to the capacity of
 // order.
 func interleave(first, second []scored, order []int) []int {
--- a/planner/preview.go
+++ b/planner/preview.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -29,6 +30,7 @@
 // NewPreview computes successive plans until the shares no longer change or
 // maxPreviewSteps is reached. It treats all given summaries as recent.
 func NewPreview(in Input) Preview {
+	in.Summaries = slices.Clone(in.Summaries)
 	for i := range in.Summaries {
 		in.Summaries[i].At = in.Now
 	}
--- a/receiver/keeper.go
+++ b/receiver/keeper.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -53,4 +54,8 @@
 // Refusals returns the latest refusals, newest first.
 func (r *Receiver) Refusals() []RefusalRecord { return r.recentRefusals.latest() }
 
-func truncatePath(path string) string { return path[:min(len(path), maxRecordedPathBytes)] }
+// truncatePath shortens a path to maxRecordedPathBytes, without a part of a character at
+// its end.
+func truncatePath(path string) string {
+	return strings.ToValidUTF8(path[:min(len(path), maxRecordedPathBytes)], "")
+}
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -322,7 +322,9 @@
 	// The bytes after the last chunk are the next request on the connection.
 	statuses := sendRaw(t, address, head+"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /catalogue/2 HTTP/1.1\r\nHost: x\r\n\r\n")
 	require.Equal(t, 200, statuses[0])
-	require.NotContains(t, ran, "/catalogue/3")
+	require.Equal(t, "/catalogue/1", ran[0])
+	require.Subset(t, []string{"/catalogue/2"}, ran[1:], "only what follows the last chunk is a request")
+	require.Len(t, statuses, len(ran), "each request that ran has its own answer")
 }
 
 func TestRefusalsCarryRetryAfter(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -109,24 +109,6 @@
 // leaving.
 func (r *Registrar) FindByAddress(address string) *Backend { return r.view.Load().byAddress[address] }
 
-// All returns every server, including those that are leaving, and the evacuated
-// failure domains.
-func (r *Registrar) All() ([]Server, []Evacuation) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	servers := make([]Server, 0, len(r.backends))
-	for _, b := range r.backends {
-		server := b.Server()
-		server.ColdUntil = b.warmAt()
-		servers = append(servers, server)
-	}
-	evacuations := make([]Evacuation, 0, len(r.evacuated))
-	for domain := range r.evacuated {
-		evacuations = append(evacuations, Evacuation{FailureDomain: domain})
-	}
-	return servers, evacuations
-}
-
 // Servers returns the handler of the entries of backend servers.
 func (r *Registrar) Servers() follower.Handler[Server] { return serverHandler{r} }
 
--- a/rendezvous.go
+++ b/rendezvous.go
@@ -27,6 +27,13 @@
 	return x ^ x>>31
 }
 
+// Uniform maps a hash to the open interval from 0 to 1.
+func Uniform(hash uint64) float64 {
+	// With one more bit, the largest hash would be rounded up to 1.
+	const bits = 52
+	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+}
+
 // RendezvousHome returns the index of the candidate with the highest score for
 // key, or -1 if there are no candidates. Of candidates with equal scores, the
 // lexicographically smaller one wins.
--- a/rendezvous_test.go
+++ b/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -61,3 +62,9 @@
 func TestRendezvousHomeWithoutCandidates(t *testing.T) {
 	require.Equal(t, -1, pollencrank.RendezvousHome("key", nil))
 }
+
+// The largest hash must not be rounded up to 1, whose logarithm is 0.
+func TestUniformExcludesItsBounds(t *testing.T) {
+	require.Greater(t, pollencrank.Uniform(0), 0.0)
+	require.Less(t, pollencrank.Uniform(math.MaxUint64), 1.0)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -123,7 +123,6 @@
 	view            atomic.Pointer[view]
 	updateRequested chan struct{}
 	stopping        atomic.Bool
-	finished        atomic.Bool
 
 	// compiled is the latest configuration. Only the update loop accesses it.
 	compiled compiled
@@ -364,7 +363,6 @@
 		log.Info("claims handed over", recorder.EventClaimsHandedOver.Attr(), slog.Int("claims", moved))
 	}
 	r.gossip.Announce(ctx, pollencrank.InstanceLeft)
-	r.finished.Store(true)
 	// Other entries query this instance for claims until they have learned that
 	// it has left.
 	sleep(ctx, announceGrace)
--- a/steerer/split.go
+++ b/steerer/split.go
@@ -88,15 +88,9 @@
 	for i := range s.regions {
 		r := &s.regions[i]
 		weight := r.share.Before + (r.share.After-r.share.Before)*progress
-		if score := weight / -math.Log(uniform(pollencrank.Mix(hash^r.regionHash))); score > bestScore {
+		if score := weight / -math.Log(pollencrank.Uniform(pollencrank.Mix(hash^r.regionHash))); score > bestScore {
 			best, bestScore = r, score
 		}
 	}
 	return best
 }
-
-// uniform maps uniformly distributed bits to a number between 0 and 1.
-func uniform(bits uint64) float64 {
-	const mantissaBits = 53
-	return (float64(bits>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -330,7 +330,7 @@
 	candidates := make([]scored, 0, len(owners))
 	for i := range owners {
 		o := &owners[i]
-		draw := uniform(pollencrank.RendezvousScore(key, o.Instance.ID))
+		draw := pollencrank.Uniform(pollencrank.RendezvousScore(key, o.Instance.ID))
 		candidates = append(candidates, scored{o, -float64(max(o.Slots, 1)) / math.Log(draw)})
 	}
 	slices.SortFunc(candidates, func(x, y scored) int {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -172,7 +172,8 @@
 	if s.cached != nil && time.Now().Before(s.cachedUntil) {
 		return s.cached
 	}
-	s.cached = s.queryMembers(ctx)
+	// The result is shared, so it must not depend on the patience of one caller.
+	s.cached = s.queryMembers(context.WithoutCancel(ctx))
 	s.cachedUntil = time.Now().Add(cacheTime)
 	return s.cached
 }
