feat: pollencrank times shows where the time of requests went

Cause: nothing says why answers are late: which part is the entry, distance, queue, a new object, or what no decision expected. Change: the line of an answered request names the parts that its last decision was based on and when its attempts began; narrator.Account splits the time of each answer by cause; pollencrank times LOGS prints it by route, region of the entries and second, with refusals by reason and a plot by second. Lines are sampled as before (--log-every).

--- a/cmd/pollencrank/main.go
+++ b/cmd/pollencrank/main.go
@@ -29,6 +29,7 @@
 	Rollback rollbackCommand `cmd:"" help:"Put the contents of an earlier generation back in force."`
 	Explain  explainCommand  `cmd:"" help:"Show why a caller is steered to its region and entries, or why requests were refused."`
 	Request  requestCommand  `cmd:"" help:"Show the course of one request from the logs of instances."`
+	Times    timesCommand    `cmd:"" help:"Show where the time of requests went, by route, region and second, from the logs of instances."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in for the store or a backend server, to try entries as separate processes."`
 	Soak     soakCommand     `cmd:"" help:"Run hosted entries as processes, inject faults from outside, and check the promises."`
 	Measure  measureCommand  `cmd:"" help:"Rerun the measurements of docs/CAPACITY.md."`
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -18,16 +18,16 @@
 // time of a request may reach, unless the request is of the most urgent priority.
 const maxLatencyFactor = 1.5
 
-// choose returns the server for the next attempt of a call and the time after which
-// its answer is expected. The error says why no server is available.
-func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (*registrar.Backend, time.Duration, error) {
+// choose returns the server for the next attempt of a call and what the choice is based
+// on. The error says why no server is available.
+func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (decision, error) {
 	serviceTime := f.serviceTimes.Estimate(call.requestClass(), initialServiceTime(call))
 	var skipped []*registrar.Backend
 	for {
 		candidates := f.findCandidates(call, skipped, now)
 		choice, ok := selector.Choose(candidates.options[:candidates.count], serviceTime)
 		if !ok {
-			return nil, 0, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
+			return decision{}, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
 		}
 		backend := candidates.backends[choice.Index]
 		if backend.IsCold(now) && !f.config.Warmer.Take(backend.ID(), call.service.ColdRate, now) {
@@ -35,9 +35,9 @@
 			continue
 		}
 		if err := f.admit(call, backend, choice, now, attempt); err != nil {
-			return nil, 0, err
+			return decision{}, err
 		}
-		return backend, choice.Expected, nil
+		return decision{backend: backend, usual: serviceTime, option: candidates.options[choice.Index], choice: choice}, nil
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -118,6 +118,8 @@
 	// BodyFailure, if set, returns the error with which reading the request's Body
 	// failed, or nil.
 	BodyFailure func() error
+	// Course is filled in by Forward.
+	Course Course
 
 	service router.Service
 	// suspended is the value of Config.Suspended at the last check of the deadline.
@@ -157,7 +159,7 @@
 				break
 			}
 		}
-		backend, expected, err := f.choose(call, now, attempt)
+		chosen, err := f.choose(call, now, attempt)
 		if err == nil {
 			err = f.checkDeadline(call, now)
 		}
@@ -168,7 +170,7 @@
 			failure.Add(err)
 			break
 		}
-		answer, err := f.sendTo(ctx, call, backend, expected)
+		answer, err := f.sendTo(ctx, call, chosen)
 		if err == nil && !isServerError(answer) {
 			discardAnswer(lastAnswer)
 			return answer, nil
@@ -184,7 +186,7 @@
 		if !f.mayRepeat(ctx, call, err) {
 			break
 		}
-		f.logRepeat(call, backend, attempt, err)
+		f.logRepeat(call, chosen.backend, attempt, err)
 	}
 	if lastAnswer != nil {
 		return lastAnswer, nil
@@ -233,8 +235,9 @@
 		slog.String("server", backend.Server().ID), slog.Int("attempt", attempt), slog.Any("error", err))
 }
 
-// sendTo sends the request to one server.
-func (f *Forwarder) sendTo(ctx context.Context, call *Call, backend *registrar.Backend, expected time.Duration) (*pollencrank.Answer, error) {
+// sendTo sends the request to the chosen server.
+func (f *Forwarder) sendTo(ctx context.Context, call *Call, chosen decision) (*pollencrank.Answer, error) {
+	backend := chosen.backend
 	call.triedBackends = append(call.triedBackends, backend)
 	server := backend.Server()
 	request := *call.Request
@@ -250,7 +253,9 @@
 		defer f.suspectRuns.begin(backend, *call.suspect)()
 	}
 	started := time.Now()
-	sent := backend.Begin(started, expected)
+	call.Course.begin(chosen, started)
+	defer func() { call.Course.EndedAt = time.Now() }()
+	sent := backend.Begin(started, chosen.choice.Expected)
 	answer, err := f.config.Sender.Send(ctx, target, &request)
 	if err == nil {
 		err = verifyAnswer(answer, &request)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -334,7 +334,11 @@
 	if answer.Status < 500 && r.answered.Add(1)%uint64(r.config.SampleEvery) != 0 {
 		return
 	}
-	r.config.Log.Info("the request was answered", recorder.EventRequestFinished.Attr(),
+	attributes := []any{
+		recorder.EventRequestFinished.Attr(),
 		slog.String("request", call.Request.ID), slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version),
-		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.String("took", took.Round(time.Microsecond).String()))
+		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.String("took", took.Round(time.Microsecond).String()),
+		slog.String("objective", call.Route.LatencyObjective.String()),
+	}
+	r.config.Log.Info("the request was answered", append(attributes, call.Course.Attributes(started)...)...)
 }
