--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -21,7 +21,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"github.com/pollencrank/pollencrank/connector"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
@@ -121,7 +120,6 @@
 	budgets     *forwarder.Budgets
 	distances   *forwarder.Distances
 	isolator    *isolator.Isolator
-	connector   *connector.Connector
 	sender      *dispatcher.Dispatcher
 	broadcaster *suspectBroadcaster
 	forwarder   *forwarder.Forwarder
@@ -209,9 +207,8 @@
 }
 
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
-	h.connector = connector.New(connector.Config{Dial: h.dial, MaySpare: h.mayOpenAhead})
 	h.sender = dispatcher.New(dispatcher.Config{
-		DialContext: h.connector.DialContext,
+		DialContext: h.dial,
 		Dialect:     h.config.Dialect,
 		OnReport:    h.report,
 		IdleTimeout: serverIdleTimeout,
@@ -277,7 +274,6 @@
 	err := h.tomb.Wait()
 	h.forwarder.Wait()
 	h.broadcaster.wait()
-	h.connector.Close()
 	return err
 }
 
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -44,10 +44,7 @@
 	optionUserTimeout = 0x12
 	// peerIdleTimeout is how long an idle connection to an instance is kept.
 	peerIdleTimeout = 5 * time.Second
-	// minOpenAheadLimit is the connection limit to a server above which one connection
-	// may be open ahead of use.
-	minOpenAheadLimit = 4
-	sweepInterval     = 500 * time.Millisecond
+	sweepInterval   = 500 * time.Millisecond
 	// registerRetryPause is the delay before the next attempt after the instance's
 	// entry could not be written. registerConfirmPause is the time in which the watch
 	// is expected to show an entry that was written.
@@ -255,22 +252,7 @@
 
 // closeRemovedServers closes the idle connections to servers that have been removed.
 func (h *Hoster) closeRemovedServers() {
-	isListed := func(address string) bool { return h.registrar.FindByAddress(address) != nil }
-	h.connector.Keep(isListed)
-	h.sender.KeepAddresses(isListed)
-}
-
-// mayOpenAhead reports whether this instance may have a connection to a server that is not
-// in use: the server must not be leaving, and must accept more connections than the few
-// that requests may need at the same time.
-func (h *Hoster) mayOpenAhead(address string) bool {
-	b := h.registrar.FindByAddress(address)
-	table := h.table.Load()
-	if b == nil || table == nil || !b.IsUsable(time.Now()) {
-		return false
-	}
-	limit := h.budgets.ConnectionLimit(table.Services[b.Server().Service].MaxConnections)
-	return limit > minOpenAheadLimit
+	h.sender.KeepAddresses(func(address string) bool { return h.registrar.FindByAddress(address) != nil })
 }
 
 // register writes the instance's own entry whenever the store lacks it. It does not wait
