--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -16,7 +16,7 @@
 
 // maxLatencyFactor is the multiple of the latency objective up to which the expected
 // time of a request may reach, unless the request is of the most urgent priority.
-const maxLatencyFactor = 3
+const maxLatencyFactor = 1.5
 
 // choose returns the server for the next attempt of a call and what the choice is based
 // on. The error says why no server is available.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -402,7 +402,7 @@
 func TestALongQueueIsRefusedAtOnceByRank(t *testing.T) {
 	s := newSystem(t)
 	for _, b := range s.registrar.Backends("parts") {
-		b.RecordLoad(2, 16, time.Now())
+		b.RecordLoad(2, 8, time.Now())
 	}
 	_, err := s.forwardRequest(t.Context(), "17")
 	require.True(t, pollencrank.IsNotRun(err))
