--- a/narrator/account.go
+++ b/narrator/account.go
@@ -134,13 +134,20 @@
 }
 
 func addRefusal(rows []*AccountRow, l Line) {
-	reason, _, _ := strings.Cut(l.text("error"), ":")
+	reason := reasonOf(l.text("error"))
 	for _, row := range rows {
 		row.Refused++
 		row.Refusals[reason]++
 	}
 }
 
+// reasonOf returns the outcome and the reason of an error's text, without its details.
+func reasonOf(text string) string {
+	const outcomeAndReason = 2
+	parts := strings.SplitN(text, ": ", outcomeAndReason+1)
+	return strings.Join(parts[:min(len(parts), outcomeAndReason)], ": ")
+}
+
 // partsOf splits the time of an answered request. What the last attempt took beyond
 // distance and usual service time is first explained by the expected queue, then by the
 // slowness of the server, then by an object that is new to it.
