fix: two tests of claims at the same time share no variable without a lock

The product's code is not concerned. Change: the counter is atomic, the number of entries a constant.

--- a/deduplicator/concurrent_test.go
+++ b/deduplicator/concurrent_test.go
@@ -122,10 +122,9 @@
 func TestACopyReplacesAClaimThatIsNotGrantedYet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(2)
-		messages := 0
+		var messages atomic.Int64
 		delayRegion(r, func() time.Duration {
-			messages++
-			if messages == 1 {
+			if messages.Add(1) == 1 {
 				return 100 * time.Millisecond
 			}
 			return usualDelay()
@@ -195,6 +194,9 @@
 	}
 }
 
+// machineEntries is the number of entries of a machine at its start.
+const machineEntries = 4
+
 // machine runs steps against a region whose messages are late and lost at random.
 type machine struct {
 	region *region
@@ -210,7 +212,7 @@
 }
 
 func newMachine(seed uint64) *machine {
-	m := &machine{region: newRegion(4), random: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}, stopped: map[string]bool{}}
+	m := &machine{region: newRegion(machineEntries), random: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}, stopped: map[string]bool{}}
 	r := m.region
 	r.loss = func() (bool, bool) {
 		m.mu.Lock()
@@ -253,7 +255,7 @@
 		}
 	case "leave":
 		const least = 2
-		if len(m.region.members)-len(m.stopped) > least {
+		if machineEntries-len(m.stopped) > least {
 			m.stopped[id] = true
 			m.region.setState(id, pollencrank.InstanceLeaving)
 			m.wait.Go(func() { m.leave(id) })
