fix: two tests wait for the line that follows the state they wait for

Ruled out: a start without the seeds' state, because the store could not be listed yet and the instance was ready. Change: this test and TestBootstrapFromAStaleInstanceDoesNotReplaceNewerState, which has the same check, wait for the line as for the other effects; that it is logged is still required.

--- a/hoster/bootstrap_test.go
+++ b/hoster/bootstrap_test.go
@@ -30,7 +30,7 @@
 	unavailable.seeds = []string{"127.0.0.1:1", first.PeerAddress}
 	second := unavailable.start(t, "entry-2", 1)
 	eventually(t, "the second is ready", func() bool { return second.isReady(t) })
-	require.True(t, second.log.has(recorder.EventBootstrapped))
+	eventually(t, "the start is logged", func() bool { return second.log.has(recorder.EventBootstrapped) })
 	status, body, _ := second.get(t, "/x/1")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "/x/1", body)
@@ -61,7 +61,7 @@
 	other.seeds = []string{stale.PeerAddress}
 	second := other.start(t, "entry-2", 1)
 	eventually(t, "the second is ready", func() bool { return second.isReady(t) })
-	require.True(t, second.log.has(recorder.EventBootstrapped))
+	eventually(t, "the start is logged", func() bool { return second.log.has(recorder.EventBootstrapped) })
 	status, _, _ := second.get(t, "/x/1")
 	require.Equal(t, http.StatusNotFound, status)
 	other.servers.set("i-1", registrar.Server{}, true)
