--- a/isolator/evidence_test.go
+++ b/isolator/evidence_test.go
@@ -95,6 +95,7 @@
 			f.arriving[arrival] = append(f.arriving[arrival], record)
 		}
 	}
+	t.Logf("%d servers lost to %d copies", len(f.lost), entries)
 	require.LessOrEqual(t, len(f.lost), 2*entries)
 }
 
