feat: the rate limit that a server names is decoded, kept and logged

Change: platform decodes Server-Limit once; a backend keeps the last one; PC1919 and PC1920 say when it is named, changed and ended. A malformed one is logged and changes nothing. No decision reads it yet.

--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -26,6 +26,19 @@
 	HasLoad          bool
 	// ColdFor is the remaining time for which the server is cold.
 	ColdFor time.Duration
+	// Limit is the rate limit that the server names.
+	Limit Limit
+}
+
+// Limit is what an answer says about the server's rate limit. The zero value says
+// that there is none.
+type Limit struct {
+	IsNamed bool
+	// PerSecond is the number of requests a second that the server takes from all
+	// instances together. It is valid if IsNamed is set.
+	PerSecond float64
+	// IsMalformed is set if the answer contains a limit that cannot be decoded.
+	IsMalformed bool
 }
 
 // Dialect defines how the servers of a deployment use headers.
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -67,6 +67,8 @@
 	EventPartUnreadable        Event = 1916
 	EventRelayLost             Event = 1917
 	EventCaughtUp              Event = 1918
+	EventServerLimited         Event = 1919
+	EventServerUnlimited       Event = 1920
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -129,6 +131,8 @@
 		{EventPartUnreadable, slog.LevelWarn, "A part of the configuration cannot be read; what depends on it is refused or served with the greatest care."},
 		{EventRelayLost, slog.LevelInfo, "The relay that the instance followed broke off, is silent or has lost the store; another one is followed."},
 		{EventCaughtUp, slog.LevelInfo, "Another instance has known more than this one for a while; the rest is fetched from it."},
+		{EventServerLimited, slog.LevelInfo, "A backend server names the requests a second that it takes from all instances together, or another number; perSecond says how many."},
+		{EventServerUnlimited, slog.LevelInfo, "A backend server no longer names such a limit."},
 	}
 }
 
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -42,6 +42,8 @@
 type Backend struct {
 	server      atomic.Pointer[Server]
 	isEvacuated atomic.Bool
+	// limit is the rate limit that the server last named, or nil.
+	limit atomic.Pointer[float64]
 
 	mu sync.Mutex
 	// inFlight holds this instance's unanswered requests to the server.
@@ -144,6 +146,27 @@
 	b.loadReportedAt = now
 }
 
+// RecordLimit records the rate limit that the server names in an answer, in requests
+// a second of all instances together, or nil if it names none. It reports whether the
+// limit has changed.
+func (b *Backend) RecordLimit(perSecond *float64) bool {
+	previous := b.limit.Swap(perSecond)
+	if previous == nil || perSecond == nil {
+		return previous != perSecond
+	}
+	return *previous != *perSecond
+}
+
+// Limit returns the rate limit that the server last named, in requests a second of all
+// instances together. It reports false if the server names none.
+func (b *Backend) Limit() (float64, bool) {
+	limit := b.limit.Load()
+	if limit == nil {
+		return 0, false
+	}
+	return *limit, true
+}
+
 // Load returns the estimated number of requests that the server has, from all
 // instances.
 func (b *Backend) Load(now time.Time) float64 {
