fix: all instances together keep the rate limit that a backend server names

Cause: no decision read the limit. The class of fault is a bound of the whole fleet that no part of the fleet is charged with. Change: apportioner divides a limit among a few holders chosen by rendezvous hash; the others borrow single tokens. Members that are gone count 2 s longer, a starting instance holds nothing for 2 s, a new holder begins empty. Urgent requests come first. Without a token a server is no candidate; with none left the caller is refused at once with the time of the next token. Conclusion: why it works: every request to a limited server takes a token of exactly one bucket, and the buckets add up to less than the bound for any mix of neighbouring views.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -20,12 +21,17 @@
 
 // choose returns the server for the next attempt of a call and what the choice is based
 // on. The error says why no server is available.
-func (f *Forwarder) choose(call *Call, now time.Time, attempt int) (decision, error) {
+func (f *Forwarder) choose(ctx context.Context, call *Call, now time.Time, attempt int) (decision, error) {
 	serviceTime := f.serviceTimes.Estimate(call.requestClass(), initialServiceTime(call))
 	var skipped []*registrar.Backend
+	var limitedUntil time.Time
 	for {
 		candidates := f.findCandidates(call, skipped, now)
+		limitedUntil = earliest(limitedUntil, candidates.limitedUntil)
 		choice, ok := selector.Choose(candidates.options[:candidates.count], serviceTime)
+		if !ok && !limitedUntil.IsZero() {
+			return decision{}, refuseLimited(call, limitedUntil, now)
+		}
 		if !ok {
 			return decision{}, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
 		}
@@ -37,6 +43,11 @@
 		if err := f.admit(call, backend, choice, now, attempt); err != nil {
 			return decision{}, err
 		}
+		if !f.takeToken(ctx, call, backend) {
+			limitedUntil = earliest(limitedUntil, f.nextTokenAt(call, backend, false, now))
+			skipped = append(skipped, backend)
+			continue
+		}
 		return decision{backend: backend, usual: serviceTime, option: candidates.options[choice.Index], choice: choice}, nil
 	}
 }
@@ -77,6 +88,9 @@
 	backends [candidateCount]*registrar.Backend
 	options  [candidateCount]selector.Option
 	count    int
+	// limitedUntil is when the first of the servers that are left out for their rate
+	// limits may be sent a request. It is zero if there is none.
+	limitedUntil time.Time
 }
 
 // findCandidates returns usable servers from the first ones of the object's order, and
@@ -93,7 +107,7 @@
 	var found candidateSet
 	f.collect(call, p, order, skipped, now, &found)
 	if found.count < candidateCount && len(p.backends) > placer.CachedServers {
-		found = candidateSet{}
+		found = candidateSet{limitedUntil: found.limitedUntil}
 		f.collect(call, p, p.table.All(call.key), skipped, now, &found)
 	}
 	return found
@@ -112,6 +126,10 @@
 		if slices.Contains(skipped, b) || slices.Contains(call.triedBackends, b) || !b.IsUsable(now) || !f.mayRun(call, b) {
 			continue
 		}
+		if nextAt := f.nextTokenAt(call, b, i < candidateCount, now); nextAt.After(now) {
+			found.limitedUntil = earliest(found.limitedUntil, nextAt)
+			continue
+		}
 		health := b.Health(now)
 		found.backends[found.count] = b
 		found.options[found.count] = selector.Option{
--- a/forwarder/choose_bench_test.go
+++ b/forwarder/choose_bench_test.go
@@ -45,7 +45,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				call.key = placer.Key("parts", "x") + uint64(i%300)*0x9e3779b97f4a7c15
-				_, err := f.choose(call, now, 1)
+				_, err := f.choose(b.Context(), call, now, 1)
 				require.NoError(b, err)
 			}
 		})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/isolator"
 	"github.com/pollencrank/pollencrank/placer"
@@ -67,6 +68,8 @@
 	Registrar *registrar.Registrar
 	Sender    Sender
 	Warmer    *warmer.Warmer
+	// Limits divides the rate limits of servers among the instances.
+	Limits    *apportioner.Apportioner
 	Splitter  *router.Splitter
 	Budgets   *Budgets
 	Distances *Distances
@@ -128,6 +131,8 @@
 	// object.
 	key           uint64
 	triedBackends []*registrar.Backend
+	// failedLoans is the number of servers for which no token could be taken or borrowed.
+	failedLoans int
 	// suspect is the fingerprint of the request if an earlier copy of it crashed a
 	// server.
 	suspect *isolator.Fingerprint
@@ -159,9 +164,9 @@
 				break
 			}
 		}
-		chosen, err := f.choose(call, now, attempt)
+		chosen, err := f.choose(ctx, call, now, attempt)
 		if err == nil {
-			err = f.checkDeadline(call, now)
+			err = f.checkDeadline(call, time.Now())
 		}
 		if err == nil && attempt > 1 && !budget.Withdraw(now) {
 			err = pollencrank.NotRun(pollencrank.ReasonRetryBudget, "no further attempt is left in the budget")
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
@@ -66,6 +67,7 @@
 	sender    *sender
 	registrar *registrar.Registrar
 	warmer    *warmer.Warmer
+	limits    *apportioner.Apportioner
 	route     router.Route
 	requests  int
 	// suspended is the total time for which the machine was suspended, in
@@ -83,7 +85,14 @@
 
 func newSystem(t testing.TB) *system {
 	t.Helper()
-	s := &system{sender: &sender{}, warmer: warmer.New("entry-1"), callerTimeout: time.Second, broadcasts: make(chan isolator.Record, 1000)}
+	return newSystemWith(t, apportioner.New(apportioner.Config{Self: apportioner.Member{ID: "entry-1"}}))
+}
+
+// newSystemWith returns a system that takes tokens for servers with rate limits from
+// limits.
+func newSystemWith(t testing.TB, limits *apportioner.Apportioner) *system {
+	t.Helper()
+	s := &system{limits: limits, sender: &sender{}, warmer: warmer.New("entry-1"), callerTimeout: time.Second, broadcasts: make(chan isolator.Record, 1000)}
 	s.warmer.SetInstances([]string{"entry-1"})
 	s.registrar = registrar.New(registrar.Config{
 		Warmup: func(string) time.Duration { return 3 * time.Second },
@@ -91,7 +100,7 @@
 	})
 	s.Forwarder = forwarder.New(forwarder.Config{
 		Region: "north", Regions: 2,
-		Registrar: s.registrar, Sender: s.sender, Warmer: s.warmer,
+		Registrar: s.registrar, Sender: s.sender, Warmer: s.warmer, Limits: s.limits,
 		Splitter:  router.NewSplitter(),
 		Budgets:   forwarder.NewBudgets(limiter.WindowConfig{Share: 0.2, Extra: 20, Window: 10 * time.Second}, 1),
 		Distances: forwarder.NewDistances("north"),
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -11,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/apportioner"
+	"github.com/pollencrank/pollencrank/registrar"
 )
 
 const (
@@ -27,6 +31,7 @@
 // limitedFleet is instances in front of the same fake servers, which name limits.
 type limitedFleet struct {
 	instances []*system
+	byID      map[string]*system
 	random    *rand.Rand
 	calls     sync.WaitGroup
 
@@ -39,9 +44,17 @@
 // second by server.
 func newLimitedFleet(t *testing.T, instances int, limits map[string]float64) *limitedFleet {
 	t.Helper()
-	f := &limitedFleet{random: rand.New(rand.NewPCG(1, 2)), limits: limits, arrivals: map[string][]time.Time{}}
-	for range instances {
-		one := newSystem(t)
+	f := &limitedFleet{byID: map[string]*system{}, random: rand.New(rand.NewPCG(1, 2)), limits: limits, arrivals: map[string][]time.Time{}}
+	started := time.Now().Add(-time.Minute)
+	var members []apportioner.Member
+	for i := range instances {
+		members = append(members, apportioner.Member{ID: fmt.Sprint("entry-", i), FailureDomain: fmt.Sprint("domain-", i%6), Region: fmt.Sprint("region-", i%3)})
+	}
+	for _, self := range members {
+		one := newSystemWith(t, apportioner.New(apportioner.Config{
+			Self: self, Lender: f, StartedAt: started, Log: slog.New(slog.DiscardHandler),
+		}))
+		one.limits.SetMembers(members, started)
 		one.sender.reply = func(server string, _ int, request *pollencrank.Request) (*pollencrank.Answer, error) {
 			f.arrive(server)
 			time.Sleep(50 * time.Millisecond)
@@ -52,6 +65,7 @@
 			f.tell(one, server)
 		}
 		f.instances = append(f.instances, one)
+		f.byID[self.ID] = one
 	}
 	return f
 }
@@ -68,11 +82,13 @@
 	limit, isLimited := f.limits[server]
 	f.mu.Unlock()
 	backend := one.registrar.Find(server)
-	if !isLimited {
-		backend.RecordLimit(nil)
-		return
-	}
-	backend.RecordLimit(&limit)
+	backend.RecordLimit(registrar.RateLimit{IsNamed: isLimited, PerSecond: limit, HeardAt: time.Now()})
+}
+
+// Borrow implements apportioner.Lender.
+func (f *limitedFleet) Borrow(_ context.Context, lender string, limit apportioner.Limit, rank int) (apportioner.Loan, error) {
+	time.Sleep(5 * time.Millisecond)
+	return f.byID[lender].limits.Lend(limit, rank, time.Now()), nil
 }
 
 // drive sends requests for random objects through random instances.
@@ -124,3 +140,33 @@
 		}
 	}
 }
+
+// Pattern: every server of a service names a limit. What they take is used, whatever the
+// number of instances, and the rest is refused at once.
+func TestTheRoomThatLimitsLeaveIsUsed(t *testing.T) {
+	const span = 12 * time.Second
+	for _, instances := range []int{1, 8, 79, 650} {
+		for _, perServer := range []float64{1, 5, 20} {
+			for _, load := range []float64{1, 4} {
+				t.Run(fmt.Sprintf("%d instances, %v a second, load %v", instances, perServer, load), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						limits := map[string]float64{"n-1": perServer, "n-2": perServer, "s-1": perServer, "s-2": perServer}
+						fleet := newLimitedFleet(t, instances, limits)
+						room := float64(len(limits)) * perServer
+						began := time.Now()
+						fleet.drive(t, load*room, span)
+						served := 0
+						for server, perSecond := range limits {
+							served += len(fleet.arrivals[server])
+							most := fleet.mostInWindow(server, began.Add(limitGrace))
+							require.LessOrEqual(t, float64(most), limitFactor*perSecond*limitWindow.Seconds()+limitSlack)
+						}
+						used := float64(served) / (room * span.Seconds())
+						t.Logf("used %.2f of the room", used)
+						require.Greater(t, used, 0.5)
+					})
+				})
+			}
+		}
+	}
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -21,6 +21,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
@@ -117,6 +118,7 @@
 	splitter    *router.Splitter
 	registrar   *registrar.Registrar
 	warmer      *warmer.Warmer
+	apportioner *apportioner.Apportioner
 	budgets     *forwarder.Budgets
 	distances   *forwarder.Distances
 	isolator    *isolator.Isolator
@@ -175,6 +177,9 @@
 		timekeeper:   timekeeper.New(),
 	}
 	h.bounds.Store(&config.Bounds)
+	h.apportioner = apportioner.New(apportioner.Config{
+		Self: memberOf(config.Self), Lender: lender{h}, StartedAt: h.startedAt, Log: config.Log,
+	})
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
 	h.isolator = isolator.New(isolator.Config{})
@@ -223,6 +228,7 @@
 		Registrar: h.registrar,
 		Sender:    h.sender,
 		Warmer:    h.warmer,
+		Limits:    h.apportioner,
 		Splitter:  h.splitter,
 		Budgets:   h.budgets,
 		Distances: h.distances,
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/recorder"
@@ -117,10 +118,26 @@
 		ids = append(ids, i.ID)
 	}
 	r.h.warmer.SetInstances(ids)
+	r.h.apportioner.SetMembers(r.members(), time.Now())
 	r.h.budgets.SetInstances(max(len(r.listed), len(ids)))
 	r.h.replicator.Wake()
 }
 
+// members returns the listed instances, as members among which limits are divided. A dead
+// one stays a member until its entry is removed: it may be alive and only cut off from
+// this instance. The lock is held.
+func (r *roster) members() []apportioner.Member {
+	members := make([]apportioner.Member, 0, len(r.listed))
+	for _, i := range r.listed {
+		members = append(members, memberOf(i.Instance))
+	}
+	return members
+}
+
+func memberOf(i namer.Instance) apportioner.Member {
+	return apportioner.Member{ID: i.ID, FailureDomain: i.FailureDomain, Region: i.Region}
+}
+
 // isUnconfirmed reports whether an instance has reported that it cannot serve callers, or
 // may have been started together with this one and may not serve callers yet.
 func (r *roster) isUnconfirmed(i namer.Instance) bool {
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -19,7 +19,6 @@
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/prober"
 	"github.com/pollencrank/pollencrank/recorder"
-	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/replicator"
 )
 
@@ -101,27 +100,7 @@
 	if report.ColdFor > 0 {
 		b.MarkCold(now.Add(report.ColdFor))
 	}
-	h.recordLimit(b, report.Limit)
-}
-
-// recordLimit records the rate limit that a server names, and logs a change. A limit that
-// cannot be decoded leaves the one in force unchanged.
-func (h *Hoster) recordLimit(b *registrar.Backend, limit dispatcher.Limit) {
-	server := slog.String("server", b.ID())
-	if limit.IsMalformed {
-		h.config.Log.Warn("a backend server names a rate limit that cannot be decoded", recorder.EventServerLimited.Attr(), server)
-		return
-	}
-	if !limit.IsNamed {
-		if b.RecordLimit(nil) {
-			h.config.Log.Info("a backend server no longer names a rate limit", recorder.EventServerUnlimited.Attr(), server)
-		}
-		return
-	}
-	if b.RecordLimit(&limit.PerSecond) {
-		h.config.Log.Info("a backend server names a rate limit", recorder.EventServerLimited.Attr(), server,
-			slog.Float64("perSecond", limit.PerSecond))
-	}
+	h.recordReportedLimit(b, report.Limit, now)
 }
 
 func (h *Hoster) readyHandler() http.Handler {
@@ -206,6 +185,7 @@
 		h.isolator.Merge(records, time.Now())
 		return nil
 	})
+	routes.POST(loansPath, h.serveLoan)
 	all := http.NewServeMux()
 	all.Handle("/", routes)
 	all.Handle(h.replicator.Handler())
@@ -268,6 +248,7 @@
 			h.idles.Sweep(limit, now)
 			h.registrar.Expire()
 			h.closeRemovedServers()
+			h.apportioner.Sweep(h.isLimited, now)
 		}
 	}
 }
--- a/outcome.go
+++ b/outcome.go
@@ -26,6 +26,7 @@
 	ReasonDeadlinePassed      Reason = "deadlinePassed"
 	ReasonNoServer            Reason = "noServer"
 	ReasonAllShed             Reason = "allServersShed"
+	ReasonServerLimit         Reason = "serverLimit"
 	ReasonRetryBudget         Reason = "retryBudgetSpent"
 	ReasonCallerGone          Reason = "callerGone"
 	ReasonServerUnreachable   Reason = "serverUnreachable"
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -69,6 +69,7 @@
 	EventCaughtUp              Event = 1918
 	EventServerLimited         Event = 1919
 	EventServerUnlimited       Event = 1920
+	EventLoanFailed            Event = 1921
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -133,6 +134,7 @@
 		{EventCaughtUp, slog.LevelInfo, "Another instance has known more than this one for a while; the rest is fetched from it."},
 		{EventServerLimited, slog.LevelInfo, "A backend server names the requests a second that it takes from all instances together, or another number; perSecond says how many."},
 		{EventServerUnlimited, slog.LevelInfo, "A backend server no longer names such a limit."},
+		{EventLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends a request to a server that names a limit."},
 	}
 }
 
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -42,8 +42,9 @@
 type Backend struct {
 	server      atomic.Pointer[Server]
 	isEvacuated atomic.Bool
-	// limit is the rate limit that the server last named, or nil.
-	limit atomic.Pointer[float64]
+	// limit is what was last heard of the server's rate limit. It is nil if the server
+	// has never named one.
+	limit atomic.Pointer[RateLimit]
 
 	mu sync.Mutex
 	// inFlight holds this instance's unanswered requests to the server.
@@ -146,25 +147,41 @@
 	b.loadReportedAt = now
 }
 
-// RecordLimit records the rate limit that the server names in an answer, in requests
-// a second of all instances together, or nil if it names none. It reports whether the
-// limit has changed.
-func (b *Backend) RecordLimit(perSecond *float64) bool {
-	previous := b.limit.Swap(perSecond)
-	if previous == nil || perSecond == nil {
-		return previous != perSecond
+// RateLimit is what was heard of a server's rate limit.
+type RateLimit struct {
+	// IsNamed says that the server names a limit.
+	IsNamed bool
+	// PerSecond is the number of requests a second that the server takes from all
+	// instances together. It is valid if IsNamed is set.
+	PerSecond float64
+	// HeardAt is when the server said so, to this instance or to another one.
+	HeardAt time.Time
+}
+
+// RecordLimit records what was heard of the server's rate limit, unless something newer is
+// known. It reports whether the limit has changed.
+func (b *Backend) RecordLimit(heard RateLimit) bool {
+	for {
+		known := b.limit.Load()
+		if known == nil && !heard.IsNamed {
+			return false
+		}
+		if known != nil && heard.HeardAt.Before(known.HeardAt) {
+			return false
+		}
+		if b.limit.CompareAndSwap(known, &heard) {
+			return known == nil || known.IsNamed != heard.IsNamed || known.PerSecond != heard.PerSecond
+		}
 	}
-	return *previous != *perSecond
 }
 
-// Limit returns the rate limit that the server last named, in requests a second of all
-// instances together. It reports false if the server names none.
-func (b *Backend) Limit() (float64, bool) {
-	limit := b.limit.Load()
-	if limit == nil {
-		return 0, false
+// Limit returns what was last heard of the server's rate limit.
+func (b *Backend) Limit() RateLimit {
+	known := b.limit.Load()
+	if known == nil {
+		return RateLimit{}
 	}
-	return *limit, true
+	return *known
 }
 
 // Load returns the estimated number of requests that the server has, from all
