chore: positions in the store's sequence of changes are a type

No behaviour changes. Measured: go test ./follower ./replicator ./platform ./hoster passes, as before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -44,7 +44,7 @@
 // Item is one object, or the removal of an object.
 type Item[V any] struct {
 	Name     string
-	Revision uint64
+	Revision Position
 	Removed  bool
 	Value    V
 }
@@ -64,11 +64,11 @@
 // Source reads a collection of the store.
 type Source[V any] interface {
 	// List returns every item and the revision to watch from.
-	List(ctx context.Context) ([]Item[V], uint64, error)
+	List(ctx context.Context) ([]Item[V], Position, error)
 	// Watch returns the changes after a revision. If there are none, it blocks
 	// until the first change or for the given wait. It returns a HistoryGoneError
 	// if the store no longer has all of these changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item[V], uint64, error)
+	Watch(ctx context.Context, after Position, wait time.Duration) ([]Item[V], Position, error)
 }
 
 // Handler processes the contents and the changes of a collection.
@@ -82,8 +82,8 @@
 // Change holds the changes of a collection after the revision After, up to and
 // including the revision Position.
 type Change[V any] struct {
-	After    uint64
-	Position uint64
+	After    Position
+	Position Position
 	// IsWhole reports that Items is the full content of the collection at
 	// Position, regardless of After.
 	IsWhole bool
@@ -95,7 +95,7 @@
 type Target[V any] interface {
 	// Position returns the revision up to which the copy is complete. It reports
 	// false if nothing has been loaded yet.
-	Position() (uint64, bool)
+	Position() (Position, bool)
 	// ApplyChange applies a change to the copy.
 	ApplyChange(change Change[V]) error
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -19,7 +19,7 @@
 // source is a fake collection of the store on virtual time.
 type source struct {
 	mu       sync.Mutex
-	revision uint64
+	revision follower.Position
 	items    map[string]string
 	changes  []item
 	changed  chan struct{}
@@ -55,7 +55,7 @@
 	change()
 }
 
-func (s *source) List(context.Context) ([]item, uint64, error) {
+func (s *source) List(context.Context) ([]item, follower.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isUnavailable {
@@ -69,7 +69,7 @@
 	return items, s.revision, nil
 }
 
-func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) ([]item, uint64, error) {
+func (s *source) Watch(ctx context.Context, after follower.Position, wait time.Duration) ([]item, follower.Position, error) {
 	deadline := time.After(wait)
 	s.locked(func() {
 		if s.lastWait == 0 {
@@ -119,14 +119,14 @@
 type target struct {
 	mu       sync.Mutex
 	isKnown  bool
-	position uint64
+	position follower.Position
 	values   map[string]string
 	resets   int
 	// historyLosses counts calls of OnHistoryGone, applied batches of changes.
 	historyLosses, applied int
 }
 
-func (h *target) Position() (uint64, bool) {
+func (h *target) Position() (follower.Position, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.position, h.isKnown
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -37,7 +37,7 @@
 	mu sync.Mutex
 	// revision is that of the last change of the collection, latest that of the last
 	// change of the whole store.
-	revision uint64
+	revision follower.Position
 	latest   *atomic.Uint64
 	items    map[string]follower.Item[V]
 	changed  chan struct{}
@@ -60,7 +60,7 @@
 func (c *collection[V]) set(name string, value V, removed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision = c.latest.Add(1)
+	c.revision = follower.Position(c.latest.Add(1))
 	c.items[name] = follower.Item[V]{Name: name, Revision: c.revision, Removed: removed, Value: value}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -109,7 +109,7 @@
 	return ok && !item.Removed
 }
 
-func (c *collection[V]) since(revision uint64) ([]follower.Item[V], uint64, chan struct{}) {
+func (c *collection[V]) since(revision follower.Position) ([]follower.Item[V], follower.Position, chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var items []follower.Item[V]
@@ -118,10 +118,10 @@
 			items = append(items, item)
 		}
 	}
-	return items, c.latest.Load(), c.changed
+	return items, follower.Position(c.latest.Load()), c.changed
 }
 
-func (c *collection[V]) List(ctx context.Context) ([]follower.Item[V], uint64, error) {
+func (c *collection[V]) List(ctx context.Context) ([]follower.Item[V], follower.Position, error) {
 	if c.isBroken.Load() {
 		return nil, 0, errCallFailed
 	}
@@ -134,7 +134,7 @@
 	return items, revision, nil
 }
 
-func (c *collection[V]) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Item[V], uint64, error) {
+func (c *collection[V]) Watch(ctx context.Context, after follower.Position, wait time.Duration) ([]follower.Item[V], follower.Position, error) {
 	c.mu.Lock()
 	silencingsAtStart := c.silencings
 	c.mu.Unlock()
@@ -206,7 +206,7 @@
 	return nil
 }
 
-func (s *store) Remove(_ context.Context, id string, _ uint64) error {
+func (s *store) Remove(_ context.Context, id string, _ follower.Position) error {
 	s.instances.set(id, namer.Instance{}, true)
 	return nil
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -50,7 +50,7 @@
 	Register(ctx context.Context, instance namer.Instance) error
 	// Remove removes an entry. Unless revision is zero, it must be the current
 	// revision of the entry.
-	Remove(ctx context.Context, id string, revision uint64) error
+	Remove(ctx context.Context, id string, revision follower.Position) error
 }
 
 // Lookups defines how callers of a deployment look up the instances to connect to.
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -32,7 +32,7 @@
 
 type listedInstance struct {
 	namer.Instance
-	revision uint64
+	revision follower.Position
 }
 
 func newRoster(h *Hoster) *roster {
@@ -157,7 +157,7 @@
 }
 
 // revisionOf returns the revision of an incarnation's entry, if it is listed.
-func (r *roster) revisionOf(i namer.Instance) (uint64, bool) {
+func (r *roster) revisionOf(i namer.Instance) (follower.Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed, isListed := r.listed[i.ID]
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -15,6 +15,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/prober"
@@ -158,10 +159,10 @@
 
 // peerPositions is the encoding of replicator.Positions between instances.
 type peerPositions struct {
-	Servers        uint64 `json:"servers,string"`
-	Configurations uint64 `json:"configurations,string"`
-	Evacuations    uint64 `json:"evacuations,string"`
-	Instances      uint64 `json:"instances,string"`
+	Servers        follower.Position `json:"servers,string"`
+	Configurations follower.Position `json:"configurations,string"`
+	Evacuations    follower.Position `json:"evacuations,string"`
+	Instances      follower.Position `json:"instances,string"`
 }
 
 // peerHandler serves requests of other instances.
--- a/replicator/codec.go
+++ b/replicator/codec.go
@@ -25,14 +25,14 @@
 
 func encodeCursor(cursor Cursor) *newspb.Positions {
 	return &newspb.Positions{
-		Servers: cursor.Servers, Configurations: cursor.Configurations, Evacuations: cursor.Evacuations, Instances: cursor.Instances,
+		Servers: uint64(cursor.Servers), Configurations: uint64(cursor.Configurations), Evacuations: uint64(cursor.Evacuations), Instances: uint64(cursor.Instances),
 	}
 }
 
 func decodeCursor(m *newspb.Positions, version uint64) Cursor {
 	return Cursor{
 		Positions: Positions{
-			Servers: m.GetServers(), Configurations: m.GetConfigurations(), Evacuations: m.GetEvacuations(), Instances: m.GetInstances(),
+			Servers: follower.Position(m.GetServers()), Configurations: follower.Position(m.GetConfigurations()), Evacuations: follower.Position(m.GetEvacuations()), Instances: follower.Position(m.GetInstances()),
 		},
 		Version: version,
 	}
@@ -63,7 +63,7 @@
 				continue
 			}
 			m.Evacuations.FailureDomains = append(m.Evacuations.FailureDomains, item.Name)
-			m.Evacuations.Revisions = append(m.Evacuations.Revisions, item.Revision)
+			m.Evacuations.Revisions = append(m.Evacuations.Revisions, uint64(item.Revision))
 		}
 	}
 	if c := update.Instances; c != nil {
@@ -82,14 +82,14 @@
 	return m
 }
 
-func encodeRange(after, position uint64, isWhole bool) *newspb.Range {
-	return &newspb.Range{After: after, Position: position, Whole: isWhole}
+func encodeRange(after, position follower.Position, isWhole bool) *newspb.Range {
+	return &newspb.Range{After: uint64(after), Position: uint64(position), Whole: isWhole}
 }
 
 func encodeServer(item follower.Item[registrar.Server], now time.Time) *newspb.Server {
 	s := item.Value
 	m := &newspb.Server{
-		Id: item.Name, Revision: item.Revision, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
+		Id: item.Name, Revision: uint64(item.Revision), Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
 		Region: s.Region, Slots: int32(min(s.Slots, math.MaxInt32)), Incarnation: s.Incarnation, IsLeaving: s.IsLeaving,
 	}
 	if left := s.ColdUntil.Sub(now); left > 0 {
@@ -101,7 +101,7 @@
 func encodeInstance(item follower.Item[namer.Instance]) *newspb.Instance {
 	i := item.Value
 	return &newspb.Instance{
-		Id: item.Name, Revision: item.Revision, Incarnation: i.Incarnation, FailureDomain: i.FailureDomain, Region: i.Region,
+		Id: item.Name, Revision: uint64(item.Revision), Incarnation: i.Incarnation, FailureDomain: i.FailureDomain, Region: i.Region,
 		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, Capacity: i.Capacity,
 	}
 }
@@ -112,7 +112,7 @@
 		Range:         encodeRange(update.After, update.Position, update.IsWhole),
 		BaseVersion:   update.BaseVersion,
 		Version:       c.Version,
-		Revision:      update.Revision,
+		Revision:      uint64(update.Revision),
 		RemovedRoutes: update.RemovedRoutes,
 		Limits: &newspb.Limits{
 			MaxHeaderBytes: int64(c.Limits.MaxHeaderBytes),
@@ -185,7 +185,7 @@
 		return nil, fmt.Errorf("%w: from %d to %d", errMalformed, r.GetAfter(), r.GetPosition())
 	}
 	return &follower.Change[V]{
-		After: r.GetAfter(), Position: r.GetPosition(), IsWhole: r.GetWhole(), Items: make([]follower.Item[V], 0, count),
+		After: follower.Position(r.GetAfter()), Position: follower.Position(r.GetPosition()), IsWhole: r.GetWhole(), Items: make([]follower.Item[V], 0, count),
 	}, nil
 }
 
@@ -214,7 +214,7 @@
 		if left := clamp(s.GetColdFor()); left > 0 {
 			server.ColdUntil = now.Add(left)
 		}
-		change.Items = append(change.Items, follower.Item[registrar.Server]{Name: server.ID, Revision: s.GetRevision(), Value: server})
+		change.Items = append(change.Items, follower.Item[registrar.Server]{Name: server.ID, Revision: follower.Position(s.GetRevision()), Value: server})
 	}
 	addRemoved(change, m.GetRemoved())
 	return change, nil
@@ -231,7 +231,7 @@
 	for i, domain := range m.GetFailureDomains() {
 		item := follower.Item[registrar.Evacuation]{Name: domain, Value: registrar.Evacuation{FailureDomain: domain}}
 		if i < len(m.GetRevisions()) {
-			item.Revision = m.GetRevisions()[i]
+			item.Revision = follower.Position(m.GetRevisions()[i])
 		}
 		change.Items = append(change.Items, item)
 	}
@@ -252,7 +252,7 @@
 			return nil, fmt.Errorf("%w: instance %q", errMalformed, i.GetId())
 		}
 		change.Items = append(change.Items, follower.Item[namer.Instance]{
-			Name: i.GetId(), Revision: i.GetRevision(),
+			Name: i.GetId(), Revision: follower.Position(i.GetRevision()),
 			Value: namer.Instance{
 				ID: i.GetId(), Incarnation: i.GetIncarnation(), FailureDomain: i.GetFailureDomain(), Region: i.GetRegion(),
 				CallerAddress: i.GetCallerAddress(), PeerAddress: i.GetPeerAddress(), Capacity: i.GetCapacity(),
@@ -271,8 +271,8 @@
 		return nil, err
 	}
 	update := &ConfigurationUpdate{
-		After: m.GetRange().GetAfter(), Position: m.GetRange().GetPosition(), IsWhole: m.GetRange().GetWhole(),
-		Revision: m.GetRevision(), BaseVersion: m.GetBaseVersion(), RemovedRoutes: m.GetRemovedRoutes(),
+		After: follower.Position(m.GetRange().GetAfter()), Position: follower.Position(m.GetRange().GetPosition()), IsWhole: m.GetRange().GetWhole(),
+		Revision: follower.Position(m.GetRevision()), BaseVersion: m.GetBaseVersion(), RemovedRoutes: m.GetRemovedRoutes(),
 	}
 	c := &update.Configuration
 	c.Version = m.GetVersion()
--- a/replicator/codec_test.go
+++ b/replicator/codec_test.go
@@ -114,8 +114,8 @@
 			}
 			c := router.Configuration{Version: version, Routes: routes, Services: map[string]router.Service{}}
 			require.NoError(t, first.Configurations.ApplyChange(follower.Change[router.Configuration]{
-				Position: version + 1, IsWhole: true,
-				Items: []follower.Item[router.Configuration]{{Name: configurationName, Revision: version, Value: c}},
+				Position: follower.Position(version + 1), IsWhole: true,
+				Items: []follower.Item[router.Configuration]{{Name: configurationName, Revision: follower.Position(version), Value: c}},
 			}))
 			if !rapid.Bool().Draw(t, "fetched") {
 				continue
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -24,8 +24,8 @@
 	mu sync.Mutex
 	// revision is the store's revision, written the revision of each evacuation, and
 	// version the version of the configuration.
-	revision           uint64
-	written            map[string]uint64
+	revision           follower.Position
+	written            map[string]follower.Position
 	version            uint64
 	changed            chan struct{}
 	isStoreUnavailable bool
@@ -91,7 +91,7 @@
 
 // newFleet starts a fleet: instances of domain a, then of domain b, and so on.
 func newFleet(domains ...int) *fleet {
-	f := &fleet{revision: 10, written: map[string]uint64{}, version: 1, changed: make(chan struct{})}
+	f := &fleet{revision: 10, written: map[string]follower.Position{}, version: 1, changed: make(chan struct{})}
 	for i, count := range domains {
 		for j := range count {
 			domain := fmt.Sprintf("%c", 'a'+i)
@@ -119,7 +119,7 @@
 	defer f.mu.Unlock()
 	f.revision++
 	f.written[fmt.Sprint("e", f.revision)] = f.revision
-	f.version = f.revision
+	f.version = uint64(f.revision)
 	f.wake()
 }
 
@@ -347,19 +347,19 @@
 type source[V any] struct {
 	n *node
 	// since returns the items written after a revision. The fleet's lock is held.
-	since func(after uint64) []follower.Item[V]
+	since func(after follower.Position) []follower.Item[V]
 }
 
-func config[V any](name string, p *process, target follower.Target[V], since func(after uint64) []follower.Item[V]) follower.Config[V] {
+func config[V any](name string, p *process, target follower.Target[V], since func(after follower.Position) []follower.Item[V]) follower.Config[V] {
 	return follower.Config[V]{
 		Name: name, Source: source[V]{p.node, since}, Target: target, Wait: 3 * time.Second, BatchDelay: 50 * time.Millisecond,
 		OnHealthChange: func() { p.Wake() }, Log: slog.New(slog.DiscardHandler),
 	}
 }
 
-func noItems[V any](uint64) []follower.Item[V] { return nil }
+func noItems[V any](follower.Position) []follower.Item[V] { return nil }
 
-func (f *fleet) evacuations(after uint64) []follower.Item[registrar.Evacuation] {
+func (f *fleet) evacuations(after follower.Position) []follower.Item[registrar.Evacuation] {
 	var items []follower.Item[registrar.Evacuation]
 	for name, revision := range f.written {
 		if revision > after {
@@ -369,15 +369,15 @@
 	return items
 }
 
-func (f *fleet) configurations(after uint64) []follower.Item[router.Configuration] {
-	if f.version <= after {
+func (f *fleet) configurations(after follower.Position) []follower.Item[router.Configuration] {
+	if follower.Position(f.version) <= after {
 		return nil
 	}
-	return []follower.Item[router.Configuration]{{Name: "main", Revision: f.version, Value: router.Configuration{Version: f.version}}}
+	return []follower.Item[router.Configuration]{{Name: "main", Revision: follower.Position(f.version), Value: router.Configuration{Version: f.version}}}
 }
 
 // List implements follower.Source.
-func (s source[V]) List(ctx context.Context) ([]follower.Item[V], uint64, error) {
+func (s source[V]) List(ctx context.Context) ([]follower.Item[V], follower.Position, error) {
 	s.count()
 	for {
 		s.n.fleet.mu.Lock()
@@ -397,7 +397,7 @@
 }
 
 // Watch implements follower.Source.
-func (s source[V]) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Item[V], uint64, error) {
+func (s source[V]) Watch(ctx context.Context, after follower.Position, wait time.Duration) ([]follower.Item[V], follower.Position, error) {
 	s.count()
 	expired := time.After(wait)
 	timedOut := time.After(wait + 800*time.Millisecond)
@@ -437,7 +437,7 @@
 
 // read returns the items of the store, or a channel that is closed at the next
 // change if the call currently gets no answer. The fleet's lock is held.
-func (s source[V]) read(after uint64) ([]follower.Item[V], uint64, <-chan struct{}, error) {
+func (s source[V]) read(after follower.Position) ([]follower.Item[V], follower.Position, <-chan struct{}, error) {
 	f := s.n.fleet
 	switch {
 	case s.n.isCutFromStore || s.n.isFrozen:
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -16,8 +16,8 @@
 // changes in between are missing.
 type GapError struct {
 	Collection string
-	Position   uint64
-	After      uint64
+	Position   follower.Position
+	After      follower.Position
 }
 
 // Error implements error.
@@ -35,14 +35,14 @@
 
 	mu       sync.Mutex
 	isLoaded bool
-	position uint64
+	position follower.Position
 	// latestRevision is the revision of the newest item that was ever received.
-	latestRevision uint64
+	latestRevision follower.Position
 	items          map[string]follower.Item[V]
 	// log holds every change after logStart, the oldest first. logged is the
 	// number of items in it.
 	log      []follower.Change[V]
-	logStart uint64
+	logStart follower.Position
 	logged   int
 }
 
@@ -53,14 +53,14 @@
 }
 
 // Position implements follower.Target.
-func (r *Replica[V]) Position() (uint64, bool) {
+func (r *Replica[V]) Position() (follower.Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.position, r.isLoaded
 }
 
 // LatestRevision returns the revision of the newest item that was ever received.
-func (r *Replica[V]) LatestRevision() uint64 {
+func (r *Replica[V]) LatestRevision() follower.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.latestRevision
@@ -145,7 +145,7 @@
 
 // Since returns the changes after a position, or nil if there are none. At position
 // zero, and at positions from before the log, it returns the whole collection.
-func (r *Replica[V]) Since(position uint64) *follower.Change[V] {
+func (r *Replica[V]) Since(position follower.Position) *follower.Change[V] {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isLoaded || position >= r.position {
--- a/replicator/replica_test.go
+++ b/replicator/replica_test.go
@@ -37,7 +37,7 @@
 	return newReplica("test", r, newNotifier()), r
 }
 
-func put(name string, revision uint64, value int) item {
+func put(name string, revision follower.Position, value int) item {
 	return item{Name: name, Revision: revision, Value: value}
 }
 
@@ -65,7 +65,7 @@
 func TestAFollowerBeyondTheLogGetsTheWholeCollection(t *testing.T) {
 	r, _ := newTestReplica()
 	require.NoError(t, r.ApplyChange(change{IsWhole: true, Position: 1}))
-	for i := uint64(1); i <= maxLogged+10; i++ {
+	for i := follower.Position(1); i <= maxLogged+10; i++ {
 		require.NoError(t, r.ApplyChange(change{After: i, Position: i + 1, Items: []item{put("a", i+1, int(i))}}))
 	}
 	require.True(t, r.Since(5).IsWhole)
@@ -85,7 +85,7 @@
 
 func newHistory(t *rapid.T) *history {
 	h := &history{states: []map[string]int{{}, {}}}
-	for revision := uint64(2); revision < 30; revision++ {
+	for revision := follower.Position(2); revision < 30; revision++ {
 		name := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name"))
 		next := map[string]int{}
 		for k, v := range h.states[len(h.states)-1] {
@@ -104,15 +104,15 @@
 	return h
 }
 
-func (h *history) whole(position uint64) change {
+func (h *history) whole(position follower.Position) change {
 	c := change{IsWhole: true, Position: position}
 	for name, value := range h.states[position] {
-		c.Items = append(c.Items, put(name, uint64(value), value))
+		c.Items = append(c.Items, put(name, follower.Position(value), value))
 	}
 	return c
 }
 
-func (h *history) between(after, position uint64) change {
+func (h *history) between(after, position follower.Position) change {
 	c := change{After: after, Position: position}
 	for _, e := range h.events {
 		if e.Revision > after && e.Revision <= position {
@@ -129,15 +129,15 @@
 func TestAReplicaMatchesTheStoreAtItsPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHistory(t)
-		last := uint64(len(h.states) - 1)
+		last := follower.Position(len(h.states) - 1)
 		r, got := newTestReplica()
 		fed, gotByFed := newTestReplica()
-		before := uint64(0)
+		before := follower.Position(0)
 		for range rapid.IntRange(1, 40).Draw(t, "pieces") {
-			to := uint64(rapid.IntRange(1, int(last)).Draw(t, "to"))
+			to := follower.Position(rapid.IntRange(1, int(last)).Draw(t, "to"))
 			piece := h.whole(to)
 			if rapid.IntRange(0, 3).Draw(t, "kind") > 0 {
-				piece = h.between(uint64(rapid.IntRange(1, int(to)).Draw(t, "after")), to)
+				piece = h.between(follower.Position(rapid.IntRange(1, int(to)).Draw(t, "after")), to)
 			}
 			err := r.ApplyChange(piece)
 			position, isKnown := r.Position()
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -18,10 +18,10 @@
 // Positions are store revisions, one for each collection. Zero means that the
 // collection has not been loaded.
 type Positions struct {
-	Servers        uint64
-	Configurations uint64
-	Evacuations    uint64
-	Instances      uint64
+	Servers        follower.Position
+	Configurations follower.Position
+	Evacuations    follower.Position
+	Instances      follower.Position
 }
 
 // IsBehind reports whether other is at a newer revision of any collection.
@@ -57,8 +57,8 @@
 }
 
 // position returns the newest revision that any collection of the update reaches.
-func (u Update) position() uint64 {
-	var position uint64
+func (u Update) position() follower.Position {
+	var position follower.Position
 	if u.Servers != nil {
 		position = max(position, u.Servers.Position)
 	}
@@ -76,10 +76,10 @@
 
 // ConfigurationUpdate is a whole configuration, or the changes from its base version.
 type ConfigurationUpdate struct {
-	After, Position uint64
+	After, Position follower.Position
 	// IsWhole is whether the update replaces the whole collection.
 	IsWhole  bool
-	Revision uint64
+	Revision follower.Position
 	// BaseVersion is the version that Configuration is a change against: its routes
 	// are then only those that are new or have changed. Zero means that
 	// Configuration is complete.
