feat: the era of the store is decoded and its rise is logged

Change: platform decodes Store-Era in every answer and logs its rise once (PC1922). No decision reads it yet. Measured: TestTheLogShowsThatTheStoreIsRestored passes; before, there was no such line.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(platform.StoreConfig{Address: settings.StoreAddress})
+	store := platform.NewStore(platform.StoreConfig{Address: settings.StoreAddress, Log: log})
 	return hoster.New(hoster.Config{
 		Self: namer.Instance{
 			ID:            settings.Instance,
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -70,6 +70,7 @@
 	EventServerLimited         Event = 1919
 	EventServerUnlimited       Event = 1920
 	EventLoanFailed            Event = 1921
+	EventStoreRestored         Event = 1922
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -135,6 +136,7 @@
 		{EventServerLimited, slog.LevelInfo, "A backend server names the requests a second that it takes from all instances together, or another number; perSecond says how many."},
 		{EventServerUnlimited, slog.LevelInfo, "A backend server no longer names such a limit."},
 		{EventLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends a request to a server that names a limit."},
+		{EventStoreRestored, slog.LevelWarn, "The platform's store has come back from an earlier copy, as its era shows; what was written since may be missing or written again."},
 	}
 }
 
