--- a/follower/follower.go
+++ b/follower/follower.go
@@ -205,6 +205,8 @@
 // Run follows the collection until ctx ends.
 func (f *Follower[V]) Run(ctx context.Context) error {
 	mustList, failures := false, 0
+	// relistings counts the losses of history since a watch last succeeded.
+	relistings := 0
 	// isRecovering means that it is not known whether the store answers, so that
 	// the next watch uses recoveryWait.
 	isRecovering := false
@@ -225,6 +227,9 @@
 		case err == nil:
 			end()
 			f.recordSuccess(failures)
+			if !mustList && isKnown {
+				relistings = 0
+			}
 			mustList, failures, isRecovering = false, 0, false
 		case errors.Is(context.Cause(stepCtx), errInterrupted):
 			// The next call is made at once.
@@ -234,6 +239,10 @@
 			if f.config.OnHistoryGone != nil {
 				f.config.OnHistoryGone()
 			}
+			relistings++
+			if relistings > 1 {
+				f.backOff(stepCtx, relistings)
+			}
 		default:
 			f.recordFailure(ctx, failures, err)
 			failures++
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -337,3 +337,30 @@
 		require.False(t, f.IsFailing())
 	})
 }
+
+// forgetfulSource is a store that never has the changes that are asked for.
+type forgetfulSource struct{ lists, watches int }
+
+func (s *forgetfulSource) List(context.Context) ([]item, follower.Position, error) {
+	s.lists++
+	return nil, 1, nil
+}
+
+func (s *forgetfulSource) Watch(context.Context, follower.Position, time.Duration) ([]item, follower.Position, error) {
+	s.watches++
+	return nil, 0, &follower.HistoryGoneError{Cause: errUnavailable}
+}
+
+// Guards against a storm of calls: a store that loses its history again and again is not
+// listed without a pause.
+func TestLossesOfHistoryInSeriesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &forgetfulSource{}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_ = follower.New(follower.Config[string]{
+			Name: "x", Source: s, Target: &target{values: map[string]string{}}, Wait: time.Second, Log: slog.New(slog.DiscardHandler),
+		}).Run(ctx)
+		require.Less(t, s.lists+s.watches, 60)
+	})
+}
