fix: a server that leaves or has left gets no requests because an earlier copy lists it

The listing of an earlier copy was taken at its word: a draining server was ready again, and one that had left was there again. Change: a start of a server that has said that it leaves never returns. One that had left in an earlier era waits until it writes its entry, or until the store must have removed it (6 s). Measured: the two tests of departure_test.go fail when either mechanism is taken out. Conclusion: what this instance was told of one start outlives the store's copy.

--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -61,6 +61,9 @@
 	// suspendedUntil is when an unreachable server is tried again.
 	suspendedUntil time.Time
 	isMisdirected  bool
+	// quarantinedUntil is when a server that the store lists again after it had left may
+	// receive requests.
+	quarantinedUntil time.Time
 }
 
 // InFlight is one unanswered request to a server.
@@ -95,7 +98,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.isMisdirected && !now.Before(b.suspendedUntil)
+	return !b.isMisdirected && !now.Before(b.suspendedUntil) && !now.Before(b.quarantinedUntil)
 }
 
 // IsCold reports whether the server is warming up.
--- /dev/null
+++ b/registrar/departure_test.go
@@ -0,0 +1,81 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/follower"
+	"github.com/pollencrank/pollencrank/registrar"
+)
+
+// inEra sets the era of the store on items.
+func inEra(t *testing.T, era uint64, items []follower.Item[registrar.Server]) []follower.Item[registrar.Server] {
+	t.Helper()
+	for i := range items {
+		position, err := follower.NewPosition(era, 5)
+		require.NoError(t, err)
+		items[i].Revision = position
+	}
+	return items
+}
+
+// Guards against new requests to a leaving server: a store that comes back from an earlier
+// copy lists it as ready.
+func TestALeavingServerStaysLeavingInAnEarlierCopy(t *testing.T) {
+	r, _ := newRegistrar()
+	leaving := server("a")
+	leaving.IsLeaving = true
+	r.Servers().Reset(inEra(t, 1, added(server("a"))))
+	r.Servers().Apply(inEra(t, 1, added(leaving)))
+	r.Servers().Reset(inEra(t, 2, added(server("a"))))
+	require.Empty(t, ids(r))
+
+	restarted := server("a")
+	restarted.Incarnation = 2
+	r.Servers().Apply(inEra(t, 2, added(restarted)))
+	require.Equal(t, []string{"a"}, ids(r), "another start under its ID is another server")
+}
+
+// Guards against requests to servers that have left: an earlier copy of the store lists
+// them again. One that lives writes its entry again, or keeps it.
+func TestAServerThatHasLeftWaitsIfAnEarlierCopyListsIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		era    uint64
+		isUsed bool
+		then   func(r *registrar.Registrar, c *clock)
+		after  bool
+	}{
+		"same era": {era: 1, isUsed: true, after: true},
+		"the entry stays": {
+			era: 2, after: true,
+			then: func(_ *registrar.Registrar, c *clock) { c.advance(6 * time.Second) },
+		},
+		"the entry is written again": {
+			era: 2, after: true,
+			then: func(r *registrar.Registrar, _ *clock) { r.Servers().Apply(inEra(t, 2, added(server("a")))) },
+		},
+		"the entry is removed": {
+			era:  2,
+			then: func(r *registrar.Registrar, _ *clock) { r.Servers().Apply(inEra(t, 2, removed("a"))) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, c := newRegistrar()
+			isUsed := func() bool {
+				b := r.Find("a")
+				return b != nil && b.IsUsable(c.now)
+			}
+			r.Servers().Reset(inEra(t, 1, added(server("a"), server("b"))))
+			r.Servers().Apply(inEra(t, 1, removed("a")))
+			r.Servers().Reset(inEra(t, test.era, added(server("a"), server("b"))))
+			require.Equal(t, test.isUsed, isUsed())
+			require.True(t, r.Find("b").IsUsable(c.now))
+			if test.then != nil {
+				test.then(r, c)
+			}
+			require.Equal(t, test.after, isUsed())
+		})
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -67,6 +67,7 @@
 	backends  map[string]*Backend
 	evacuated map[string]bool
 	lapses
+	departures
 }
 
 // view is an immutable index of the servers that the store lists and that are not
@@ -84,10 +85,11 @@
 		config.Now = time.Now
 	}
 	r := &Registrar{
-		config:    config,
-		backends:  map[string]*Backend{},
-		evacuated: map[string]bool{},
-		lapses:    lapses{missing: map[string]bool{}},
+		config:     config,
+		backends:   map[string]*Backend{},
+		evacuated:  map[string]bool{},
+		lapses:     lapses{missing: map[string]bool{}},
+		departures: departures{byID: map[string]departure{}},
 	}
 	r.view.Store(&view{})
 	return r
@@ -124,7 +126,11 @@
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Name] = true
+		isReturned := h.isReturned(item)
 		h.put(item.Value)
+		if isReturned {
+			h.quarantine(item.Name)
+		}
 	}
 	var removed []string
 	for id := range h.backends {
@@ -146,7 +152,9 @@
 			removed = append(removed, item.Name)
 			continue
 		}
+		h.observeEra(item.Revision)
 		h.put(item.Value)
+		h.backends[item.Name].endQuarantine()
 	}
 	h.removeOrKeepMissing(removed)
 	h.rebuild()
@@ -157,6 +165,8 @@
 	delete(r.missing, s.ID)
 	known := r.backends[s.ID]
 	if known != nil && known.isSame(s) {
+		// A start that leaves never returns. An earlier copy of the store may say so.
+		s.IsLeaving = s.IsLeaving || known.Server().IsLeaving
 		if s.IsLeaving && !known.Server().IsLeaving {
 			r.config.Log.Info("backend server is leaving", recorder.EventServerLeaving.Attr(), slog.String("server", s.ID))
 		}
@@ -172,6 +182,7 @@
 
 // remove removes a server. The lock is held.
 func (r *Registrar) remove(id string) {
+	r.recordDeparture(r.backends[id])
 	delete(r.backends, id)
 	r.config.Log.Info("backend server removed", recorder.EventServerRemoved.Attr(), slog.String("server", id))
 }
