fix: what an earlier copy of the store lacks has time to be written again

The listing of an earlier copy replaced what was known: servers, evacuations and instances that had been written since were gone at once, though the living write again within two seconds, and an older configuration was handed on to followers. Change: a copy of a collection keeps for 2.2 s what a listing of a later era lacks, anew while the store is away, and does not hand it on. A configuration stays until a newer version comes. An instance whose entry is lost writes it again, spread over 0.5 s. Conclusion: the rule for what is missing stands in one place for all collections.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -46,7 +46,10 @@
 	Name     string
 	Revision Position
 	Removed  bool
-	Value    V
+	// IsPending says that the store lost the item when it came back from an earlier
+	// copy, and that it may be written again.
+	IsPending bool
+	Value     V
 }
 
 // HistoryGoneError reports that the store no longer has the changes after a
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -241,6 +241,14 @@
 }
 
 func (s *store) start(t *testing.T, id string, incarnation uint64) *entry {
+	t.Helper()
+	return startEntry(t, id, incarnation, hoster.Config{
+		Registry: s, Servers: s.servers, Configurations: s.configurations, Evacuations: s.evacuations, Instances: s.instances, Seeds: s.seeds,
+	})
+}
+
+// startEntry starts an instance with the store that config names.
+func startEntry(t *testing.T, id string, incarnation uint64, config hoster.Config) *entry {
 	t.Helper()
 	listeners := hoster.Listeners{Callers: listen(t), Ready: listen(t), Lookups: listen(t), Peers: listen(t), Metrics: listen(t)}
 	e := &entry{
@@ -253,18 +261,19 @@
 		done:    make(chan struct{}),
 		log:     &logBuffer{},
 	}
-	h := hoster.New(hoster.Config{
-		Self: e.Instance, RegionOf: map[string]string{"north-a": "north"}, Listeners: listeners, Dialect: platform.Dialect{},
-		Lookups: hoster.Lookups{
-			LookupPath: platform.LookupPath, ReadyPath: platform.ReadyPath, Read: platform.ReadLookup, Write: platform.WriteLookup,
-		},
-		Registry: s, Servers: s.servers, Configurations: s.configurations, Evacuations: s.evacuations, Instances: s.instances, Seeds: s.seeds,
-		Bounds: hoster.Bounds{
-			Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
-			StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
-		},
-		Log: slog.New(slog.NewJSONHandler(e.log, nil)),
-	})
+	config.Self = e.Instance
+	config.RegionOf = map[string]string{"north-a": "north"}
+	config.Listeners = listeners
+	config.Dialect = platform.Dialect{}
+	config.Lookups = hoster.Lookups{
+		LookupPath: platform.LookupPath, ReadyPath: platform.ReadyPath, Read: platform.ReadLookup, Write: platform.WriteLookup,
+	}
+	config.Bounds = hoster.Bounds{
+		Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
+		StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
+	}
+	config.Log = slog.New(slog.NewJSONHandler(e.log, nil))
+	h := hoster.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go func() {
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -33,6 +33,8 @@
 type listedInstance struct {
 	namer.Instance
 	revision follower.Position
+	// isPending says that the store has lost the entry.
+	isPending bool
 }
 
 func newRoster(h *Hoster) *roster {
@@ -58,7 +60,7 @@
 			delete(r.listed, item.Name)
 			continue
 		}
-		r.listed[item.Name] = listedInstance{Instance: item.Value, revision: item.Revision}
+		r.listed[item.Name] = listedInstance{Instance: item.Value, revision: item.Revision, isPending: item.IsPending}
 	}
 	all := make([]namer.Instance, 0, len(r.listed))
 	for _, i := range r.listed {
@@ -69,7 +71,7 @@
 
 	r.h.prober.SetInstances(all)
 	r.publish()
-	if !isListed || own.Incarnation != r.h.config.Self.Incarnation {
+	if !isListed || own.isPending || own.Incarnation != r.h.config.Self.Incarnation {
 		r.h.wakeRegister()
 	}
 }
@@ -166,8 +168,17 @@
 
 // isRegistered reports whether this instance's own entry is in the store.
 func (r *roster) isRegistered() bool {
-	_, isListed := r.revisionOf(r.h.config.Self)
-	return isListed
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own, isListed := r.listed[r.h.config.Self.ID]
+	return isListed && !own.isPending && own.Incarnation == r.h.config.Self.Incarnation
+}
+
+// isLost reports whether the store has lost this instance's own entry.
+func (r *roster) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed[r.h.config.Self.ID].isPending
 }
 
 // removeDead removes the entry of an instance that does not answer. The entry stays if
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"syscall"
@@ -51,6 +52,9 @@
 	// is expected to show an entry that was written.
 	registerRetryPause   = 400 * time.Millisecond
 	registerConfirmPause = 2500 * time.Millisecond
+	// registerSpread is the time in which all instances write their entries again after
+	// the store has lost them.
+	registerSpread = 500 * time.Millisecond
 	// defaultIdleLimit is the idle timeout of callers' connections if no
 	// configuration sets one.
 	defaultIdleLimit = 60 * time.Second
@@ -247,6 +251,7 @@
 				limit = table.Limits.IdleTimeout
 			}
 			h.idles.Sweep(limit, now)
+			h.state.Expire(!h.replicator.IsStoreUnavailable(), now)
 			h.registrar.Expire()
 			h.closeRemovedServers()
 			h.apportioner.Sweep(h.isLimited, now)
@@ -259,6 +264,18 @@
 	h.sender.KeepAddresses(func(address string) bool { return h.registrar.FindByAddress(address) != nil })
 }
 
+// spreadRegistration waits for a random time if the store has lost the instance's entry:
+// it has then lost those of others too, and takes a limited number of writes.
+func (h *Hoster) spreadRegistration() {
+	if !h.roster.isLost() {
+		return
+	}
+	select {
+	case <-h.tomb.Dying():
+	case <-time.After(rand.N(registerSpread)):
+	}
+}
+
 // register writes the instance's own entry whenever the store lacks it. It does not wait
 // until the instance can serve callers, because the instances of a starting fleet choose
 // their relays among the instances that are registered.
@@ -270,6 +287,7 @@
 			return nil
 		case <-h.registerNow:
 		}
+		h.spreadRegistration()
 		for !h.isStopping.Load() && !h.roster.isRegistered() {
 			pause := registerConfirmPause
 			if err := h.config.Registry.Register(ctx, h.config.Self); err != nil {
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/pollencrank/pollencrank/follower"
 )
@@ -12,6 +13,10 @@
 // collection.
 const maxLogged = 2000
 
+// returnWindow is the time after the store has come back from an earlier copy in which
+// what the copy lacks is written again. What is missing after that is gone.
+const returnWindow = 2200 * time.Millisecond
+
 // GapError reports a change that starts after the position of the replica, so that
 // changes in between are missing.
 type GapError struct {
@@ -39,6 +44,13 @@
 	// latestRevision is the revision of the newest item that was ever received.
 	latestRevision follower.Position
 	items          map[string]follower.Item[V]
+	// isNewer, if set, reports whether a known value stays although the store shows
+	// another one, or none.
+	isNewer func(known, shown V) bool
+	// pending holds the items that the store lost when it came back from an earlier
+	// copy. They stay until pendingUntil, unless they are written again or removed.
+	pending      map[string]follower.Item[V]
+	pendingUntil time.Time
 	// log holds every change after logStart, the oldest first. logged is the
 	// number of items in it.
 	log      []follower.Change[V]
@@ -49,7 +61,10 @@
 // newReplica returns a replica that has not been loaded. The handler receives the
 // contents and changes of the replica in order.
 func newReplica[V any](name string, handler follower.Handler[V], notify *notifier) *Replica[V] {
-	return &Replica[V]{name: name, handler: handler, changes: notify, items: map[string]follower.Item[V]{}}
+	return &Replica[V]{
+		name: name, handler: handler, changes: notify,
+		items: map[string]follower.Item[V]{}, pending: map[string]follower.Item[V]{},
+	}
 }
 
 // Position implements follower.Target.
@@ -87,17 +102,85 @@
 
 // replace replaces the whole collection. The lock is held.
 func (r *Replica[V]) replace(change follower.Change[V]) {
-	clear(r.items)
+	known := r.items
+	isRestored := r.isLoaded && change.Position.Era() > r.position.Era()
+	r.items = map[string]follower.Item[V]{}
 	for _, item := range change.Items {
-		r.items[item.Name] = item
-		r.latestRevision = max(r.latestRevision, item.Revision)
+		r.put(item, known)
+	}
+	for name, item := range known {
+		if _, isListed := r.items[name]; isListed {
+			continue
+		}
+		switch {
+		case r.isNewer != nil:
+			r.items[name] = item
+		case isRestored:
+			r.pending[name] = item
+		}
+	}
+	if isRestored {
+		r.pendingUntil = time.Now().Add(returnWindow)
 	}
 	r.isLoaded = true
 	r.position = change.Position
 	r.log = nil
 	r.logStart = change.Position
 	r.logged = 0
-	r.handler.Reset(change.Items)
+	r.handler.Reset(r.present())
+	r.changes.broadcast()
+}
+
+// put adds an item, or the known one of its name if that is newer. The lock is held.
+func (r *Replica[V]) put(item follower.Item[V], known map[string]follower.Item[V]) {
+	r.latestRevision = max(r.latestRevision, item.Revision)
+	delete(r.pending, item.Name)
+	before, isKnown := known[item.Name]
+	if isKnown && r.isNewer != nil && (item.Removed || r.isNewer(before.Value, item.Value)) {
+		item = before
+	}
+	if item.Removed {
+		delete(r.items, item.Name)
+		return
+	}
+	r.items[item.Name] = item
+}
+
+// present returns the items of the collection, and those that may be written again. The
+// lock is held.
+func (r *Replica[V]) present() []follower.Item[V] {
+	items := make([]follower.Item[V], 0, len(r.items)+len(r.pending))
+	for _, item := range r.items {
+		items = append(items, item)
+	}
+	for _, item := range r.pending {
+		item.IsPending = true
+		items = append(items, item)
+	}
+	return items
+}
+
+// Expire removes the items that were not written again in time after the store came back
+// from an earlier copy. While the store is not available, nothing can be written: the time
+// begins anew.
+func (r *Replica[V]) Expire(isAvailable bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case len(r.pending) == 0:
+		return
+	case !isAvailable:
+		r.pendingUntil = now.Add(returnWindow)
+		return
+	case now.Before(r.pendingUntil):
+		return
+	}
+	var gone []follower.Item[V]
+	for name := range r.pending {
+		gone = append(gone, follower.Item[V]{Name: name, Revision: r.position, Removed: true})
+	}
+	clear(r.pending)
+	r.handler.Apply(gone)
 	r.changes.broadcast()
 }
 
@@ -110,12 +193,7 @@
 	}
 	items := latest(change.Items)
 	for _, item := range items {
-		r.latestRevision = max(r.latestRevision, item.Revision)
-		if item.Removed {
-			delete(r.items, item.Name)
-			continue
-		}
-		r.items[item.Name] = item
+		r.put(item, r.items)
 	}
 	r.log = append(r.log, follower.Change[V]{After: after, Position: change.Position, Items: items})
 	r.logged += len(items)
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -125,6 +125,7 @@
 	s := &State{changes: notify}
 	s.Servers = newReplica("servers", handlers.Servers, notify)
 	s.Configurations = newReplica("configurations", recordingHandler{handlers.Configurations, &s.recent}, notify)
+	s.Configurations.isNewer = func(known, shown router.Configuration) bool { return known.Version > shown.Version }
 	s.Evacuations = newReplica("evacuations", handlers.Evacuations, notify)
 	s.Instances = newReplica("instances", handlers.Instances, notify)
 	return s
@@ -144,6 +145,15 @@
 	return cursor
 }
 
+// Expire removes from every collection what was not written again in time after the store
+// came back from an earlier copy. It has to be called periodically.
+func (s *State) Expire(isStoreAvailable bool, now time.Time) {
+	s.Servers.Expire(isStoreAvailable, now)
+	s.Configurations.Expire(isStoreAvailable, now)
+	s.Evacuations.Expire(isStoreAvailable, now)
+	s.Instances.Expire(isStoreAvailable, now)
+}
+
 // IsLoaded reports whether every collection has been loaded.
 func (s *State) IsLoaded() bool {
 	cursor := s.Cursor()
