feat: the soak restores the store from earlier copies and lets servers name limits

Conclusion: the limit is checked in runs without signals and cuts only, since those excuse an instance.

--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -74,6 +74,10 @@
 	// linksDisturbedUntil is the time until which requests may be delayed on the link to a
 	// server, by its ID.
 	linksDisturbedUntil map[string]time.Time
+	// limits holds the servers that name a rate limit, by ID, and limitsExcusedAt is when
+	// an instance was last restarted, frozen or cut off.
+	limits          map[string]*namedLimit
+	limitsExcusedAt time.Time
 	// disturbances are the spans in which time bounds are not checked for any instance.
 	disturbances disturbances
 }
@@ -92,7 +96,7 @@
 
 func newLedger() *ledger {
 	return &ledger{startedAt: time.Now(), attempts: map[string]*sentAttempt{}, forbidden: map[string]change{}, newestServed: map[string]uint64{},
-		linksDisturbedUntil: map[string]time.Time{}}
+		linksDisturbedUntil: map[string]time.Time{}, limits: map[string]*namedLimit{}}
 }
 
 // addViolation records a broken promise. The caller holds the lock.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -205,6 +205,15 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
+	if err := s.writeConfiguration(version); err != nil {
+		return err
+	}
+	s.ledger.recordAccepted(version)
+	return nil
+}
+
+// writeConfiguration writes a version into the store.
+func (s *soak) writeConfiguration(version uint64) error {
 	const host = callerHost
 	const second = time.Second
 	routes := []imitator.RouteConfig{
@@ -218,11 +227,7 @@
 			Priority: 1, Timeout: 2 * second, LatencyObjective: second / 2,
 		})
 	}
-	if err := s.store.Configure(version, routes, s.services); err != nil {
-		return err
-	}
-	s.ledger.recordAccepted(version)
-	return nil
+	return s.store.Configure(version, routes, s.services)
 }
 
 // awaitReady waits until every instance reports that it is ready.
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -53,7 +53,7 @@
 	ip := s.ip(serverKind, 0)
 	server, err := imitator.StartServer(imitator.ServerConfig{
 		ID: id, Service: service, FailureDomain: domain, Slots: serverSlots, ServiceTime: serviceTime, CachedObjects: cachedObjects,
-		OnRun: s.ledger.recordRun,
+		OnRun: s.ledger.recordRun, OnArrival: s.ledger.recordArrival,
 	}, ip)
 	if err != nil {
 		return err
@@ -106,7 +106,7 @@
 		{"storeSilent", s.storeFault(imitator.StoreFaults{IsUnresponsive: true})},
 		{"storeSlow", s.storeFault(imitator.StoreFaults{Delay: 200 * time.Millisecond})},
 		{"storeLost", s.storeFault(imitator.StoreFaults{LostAnswerShare: 0.5, DelaysLostWrites: true})},
-		{"storeForgets", s.discardStoreHistory},
+		{"storeForgets", s.discardStoreHistory}, {"storeRestored", s.restoreStore},
 		{"cutFromStore", s.storeLinkFault(linkState{HoldsForward: true, HoldsBackward: true})},
 		{"deafToStore", s.storeLinkFault(linkState{HoldsBackward: true})},
 		{"resetFromStore", s.resetStoreLink},
@@ -114,6 +114,7 @@
 		{"answersHeld", s.serverLinkFault(linkState{HoldsBackward: true})},
 		{"serverFar", s.serverLinkFault(linkState{Delay: 50 * time.Millisecond})},
 		{"serverReset", s.resetServer}, {"answersLost", s.loseAnswers}, {"serverCrash", s.crashServer}, {"serverSlow", s.slowServer}, {"serverLeaves", s.drainServer},
+		{"serverLimited", s.limitServer},
 	}
 	if len(s.config.Only) == 0 {
 		return s.chooseKinds(all)
@@ -176,6 +177,7 @@
 		return false
 	}
 	p.isClaimed = true
+	s.ledger.excuseLimits()
 	return true
 }
 
@@ -295,6 +297,7 @@
 func (s *soak) storeLinkFault(state linkState) func(context.Context, time.Duration, uint64) {
 	return func(ctx context.Context, span time.Duration, choice uint64) {
 		p := s.pickInstance(choice)
+		s.ledger.excuseLimits()
 		p.disturbances.add(time.Now().Add(span + recoveryTime))
 		p.store.setState(state)
 		sleep(ctx, span)
