fix: what a misdirected answer reports is not that of the expected server

Change: an answer of another server reports nothing. Measured: TestAMisdirectedAnswerReportsNothing fails without the change. Conclusion: a report is recorded only for the start of the server that made it.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -207,10 +207,12 @@
 		return nil, attempt.classify(ctx, target, err)
 	}
 	report := d.config.Dialect.Report(response.Header)
-	if d.config.OnReport != nil {
+	reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header)
+	// A server that was reached in place of the target reports on itself.
+	if d.config.OnReport != nil && reason != pollencrank.ReasonServerReplaced {
 		d.config.OnReport(target, report)
 	}
-	if reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header); notRun {
+	if notRun {
 		go discard(response)
 		return nil, refusalError(target, reason, response)
 	}
