feat: a server that says in an answer that it leaves gets no new requests

Another start or another server at its address is not held to it. Conclusion: the answer and the store are two sources of one fact, and the earlier one counts.

--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -26,6 +26,8 @@
 	HasLoad          bool
 	// ColdFor is the remaining time for which the server is cold.
 	ColdFor time.Duration
+	// IsLeaving is set if the server says that it leaves: it takes no new requests.
+	IsLeaving bool
 	// Limit is the rate limit that the server names.
 	Limit Limit
 }
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -105,6 +105,9 @@
 	if report.ColdFor > 0 {
 		b.MarkCold(now.Add(report.ColdFor))
 	}
+	if report.IsLeaving && b.MarkLeaving() {
+		h.config.Log.Info("a backend server says in an answer that it is leaving", recorder.EventServerLeaving.Attr(), slog.String("server", b.ID()))
+	}
 	h.recordReportedLimit(b, report.Limit, now)
 }
 
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -42,6 +42,8 @@
 type Backend struct {
 	server      atomic.Pointer[Server]
 	isEvacuated atomic.Bool
+	// hasSaidLeaving is set once the server has said in an answer that it leaves.
+	hasSaidLeaving atomic.Bool
 	// limit is what was last heard of the server's rate limit. It is nil if the server
 	// has never named one.
 	limit atomic.Pointer[RateLimit]
@@ -93,7 +95,7 @@
 
 // IsUsable reports whether the server may receive new requests.
 func (b *Backend) IsUsable(now time.Time) bool {
-	if b.isEvacuated.Load() || b.server.Load().IsLeaving {
+	if b.isEvacuated.Load() || b.hasSaidLeaving.Load() || b.server.Load().IsLeaving {
 		return false
 	}
 	b.mu.Lock()
@@ -161,6 +163,10 @@
 	HeardAt time.Time
 }
 
+// MarkLeaving records that the server has said in an answer that it leaves. It is never
+// used again, whatever the store says. MarkLeaving reports whether that is new.
+func (b *Backend) MarkLeaving() bool { return !b.hasSaidLeaving.Swap(true) }
+
 // RecordLimit records what was heard of the server's rate limit, unless something newer is
 // known. It reports whether the limit has changed.
 func (b *Backend) RecordLimit(heard RateLimit) bool {
--- a/registrar/departure_test.go
+++ b/registrar/departure_test.go
@@ -79,3 +79,23 @@
 		})
 	}
 }
+
+// Guards against new requests to a server that has said in an answer that it leaves, while
+// the store still lists it as ready, or lists it so again.
+func TestAServerThatSaysItLeavesIsNotUsedAgain(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(inEra(t, 1, added(server("a"))))
+	a := r.Find("a")
+	require.True(t, a.MarkLeaving())
+	require.False(t, a.MarkLeaving(), "it is said once")
+	r.Servers().Apply(inEra(t, 1, added(server("a"))))
+	r.Servers().Reset(inEra(t, 2, added(server("a"))))
+	require.False(t, r.Find("a").IsUsable(c.now))
+
+	other := server("b")
+	restarted := server("a")
+	restarted.Incarnation = 2
+	r.Servers().Apply(inEra(t, 2, added(restarted, other)))
+	require.True(t, r.Find("a").IsUsable(c.now), "another start")
+	require.True(t, r.Find("b").IsUsable(c.now), "another server at its address")
+}
