feat: a server that asks for a pause gets no requests until it ends

Change: the pause is decoded once (fractions count, a minute at most, nonsense is logged and ignored); the server is no candidate until its end, plus up to a fifth, so that instances do not return together. It counts as no failure. If no server can take a request, the caller is refused at once, with the time at which the first of them can, for limits as for pauses.

--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -1,8 +1,10 @@
 package dispatcher
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -28,10 +30,37 @@
 	ColdFor time.Duration
 	// IsLeaving is set if the server says that it leaves: it takes no new requests.
 	IsLeaving bool
+	// Pause is what the server says about a time without requests.
+	Pause Pause
 	// Limit is the rate limit that the server names.
 	Limit Limit
 }
 
+// Pause is the time for which a server that turned a request away wants no others from
+// this instance. The zero value says that there is none.
+type Pause struct {
+	For time.Duration
+	// IsMalformed is set if the answer contains a time that cannot be decoded.
+	IsMalformed bool
+}
+
+// maxPause bounds the time that a server can ask for.
+const maxPause = time.Minute
+
+// ParsePause decodes the pause in an answer with status 503, from the seconds in its
+// Retry-After header. Fractions count; a date does not.
+func ParsePause(status int, header http.Header) Pause {
+	text := strings.TrimSpace(header.Get("Retry-After"))
+	if status != http.StatusServiceUnavailable || text == "" {
+		return Pause{}
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return Pause{IsMalformed: true}
+	}
+	return Pause{For: time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))}
+}
+
 // Limit is what an answer says about the server's rate limit. The zero value says
 // that there is none.
 type Limit struct {
@@ -51,8 +80,8 @@
 	// Refusal returns whether an answer proves that the request did not run, and
 	// the reason.
 	Refusal(status int, header http.Header) (pollencrank.Reason, bool)
-	// Report decodes the report of the server from the headers of an answer.
-	Report(header http.Header) Report
+	// Report decodes the report of the server from the status and the headers of an answer.
+	Report(status int, header http.Header) Report
 }
 
 // defaultDialect uses the headers of this package.
@@ -73,4 +102,6 @@
 }
 
 // Report implements Dialect.
-func (defaultDialect) Report(http.Header) Report { return Report{} }
+func (defaultDialect) Report(status int, header http.Header) Report {
+	return Report{Pause: ParsePause(status, header)}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,7 +22,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -206,7 +205,7 @@
 	if err != nil {
 		return nil, attempt.classify(ctx, target, err)
 	}
-	report := d.config.Dialect.Report(response.Header)
+	report := d.config.Dialect.Report(response.StatusCode, response.Header)
 	reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header)
 	// A server that was reached in place of the target reports on itself.
 	if d.config.OnReport != nil && reason != pollencrank.ReasonServerReplaced {
@@ -214,7 +213,7 @@
 	}
 	if notRun {
 		go discard(response)
-		return nil, refusalError(target, reason, response)
+		return nil, refusalError(target, reason, response, report)
 	}
 	return newAnswer(target, response, report), nil
 }
@@ -257,10 +256,10 @@
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
 
-func refusalError(target Target, reason pollencrank.Reason, response *http.Response) error {
+func refusalError(target Target, reason pollencrank.Reason, response *http.Response, report Report) error {
 	err := pollencrank.NotRun(reason, "server %s did not run the request: status %d", target.Name, response.StatusCode)
-	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
-		err.RetryAt = time.Now().Add(time.Duration(seconds) * time.Second)
+	if report.Pause.For > 0 {
+		err.RetryAt = time.Now().Add(report.Pause.For)
 	}
 	return err
 }
--- a/dispatcher/report_test.go
+++ b/dispatcher/report_test.go
@@ -43,3 +43,39 @@
 	require.NoError(t, err)
 	require.Len(t, all, 1)
 }
+
+// A pause is bounded, and nonsense asks for none: one server must not be lost for a day, or
+// be sent requests without end because of a typing error.
+func TestParsePause(t *testing.T) {
+	for text, want := range map[string]dispatcher.Pause{
+		"":        {},
+		"0":       {},
+		"2":       {For: 2 * time.Second},
+		" 0.25 ":  {For: 250 * time.Millisecond},
+		"86400":   {For: time.Minute},
+		"1e300":   {For: time.Minute},
+		"-1":      {IsMalformed: true},
+		"NaN":     {IsMalformed: true},
+		"soon":    {IsMalformed: true},
+		"1,5":     {IsMalformed: true},
+		"Fri, 04": {IsMalformed: true},
+	} {
+		header := http.Header{"Retry-After": {text}}
+		require.Equal(t, want, dispatcher.ParsePause(http.StatusServiceUnavailable, header), "%q", text)
+		require.Zero(t, dispatcher.ParsePause(http.StatusOK, header), "only a server that turned a request away pauses")
+	}
+}
+
+// Guards against seconds without their fraction: the caller is told when to come back.
+func TestARefusalCarriesThePause(t *testing.T) {
+	before := time.Now()
+	all, err := reports(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", "7.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	var notRun *pollencrank.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.False(t, notRun.RetryAt.Before(before.Add(7500*time.Millisecond)))
+	require.Equal(t, 7500*time.Millisecond, all[0].Pause.For)
+}
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -24,13 +24,13 @@
 func (f *Forwarder) choose(ctx context.Context, call *Call, now time.Time, attempt int) (decision, error) {
 	serviceTime := f.serviceTimes.Estimate(call.requestClass(), initialServiceTime(call))
 	var skipped []*registrar.Backend
-	var limitedUntil time.Time
+	var blocked absence
 	for {
 		candidates := f.findCandidates(call, skipped, now)
-		limitedUntil = earliest(limitedUntil, candidates.limitedUntil)
+		blocked.merge(candidates.blocked)
 		choice, ok := selector.Choose(candidates.options[:candidates.count], serviceTime)
-		if !ok && !limitedUntil.IsZero() {
-			return decision{}, refuseLimited(call, limitedUntil, now)
+		if !ok && !blocked.until.IsZero() {
+			return decision{}, blocked.refuse(call, now)
 		}
 		if !ok {
 			return decision{}, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
@@ -44,7 +44,7 @@
 			return decision{}, err
 		}
 		if !f.takeToken(ctx, call, backend) {
-			limitedUntil = earliest(limitedUntil, f.nextTokenAt(call, backend, false, now))
+			blocked.add(pollencrank.ReasonServerLimit, f.nextTokenAt(call, backend, false, now))
 			skipped = append(skipped, backend)
 			continue
 		}
@@ -88,9 +88,9 @@
 	backends [candidateCount]*registrar.Backend
 	options  [candidateCount]selector.Option
 	count    int
-	// limitedUntil is when the first of the servers that are left out for their rate
-	// limits may be sent a request. It is zero if there is none.
-	limitedUntil time.Time
+	// blocked says when the first of the servers may be sent a request that are left out
+	// because of what they say of themselves.
+	blocked absence
 }
 
 // findCandidates returns usable servers from the first ones of the object's order, and
@@ -107,7 +107,7 @@
 	var found candidateSet
 	f.collect(call, p, order, skipped, now, &found)
 	if found.count < candidateCount && len(p.backends) > placer.CachedServers {
-		found = candidateSet{limitedUntil: found.limitedUntil}
+		found = candidateSet{blocked: found.blocked}
 		f.collect(call, p, p.table.All(call.key), skipped, now, &found)
 	}
 	return found
@@ -123,11 +123,15 @@
 func (f *Forwarder) collect(call *Call, p *placement, order []int, skipped []*registrar.Backend, now time.Time, found *candidateSet) {
 	for i, index := range order {
 		b := p.backends[index]
-		if slices.Contains(skipped, b) || slices.Contains(call.triedBackends, b) || !b.IsUsable(now) || !f.mayRun(call, b) {
+		if slices.Contains(skipped, b) || slices.Contains(call.triedBackends, b) || !f.mayRun(call, b) {
+			continue
+		}
+		if !b.IsUsable(now) {
+			found.blocked.addPause(b, now)
 			continue
 		}
 		if nextAt := f.nextTokenAt(call, b, i < candidateCount, now); nextAt.After(now) {
-			found.limitedUntil = earliest(found.limitedUntil, nextAt)
+			found.blocked.add(pollencrank.ReasonServerLimit, nextAt)
 			continue
 		}
 		health := b.Health(now)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -336,6 +336,11 @@
 		return
 	}
 	switch notRun.Reason {
+	case pollencrank.ReasonAllShed:
+		// A server that asks for a pause has not failed.
+		if notRun.RetryAt.IsZero() {
+			backend.RecordFailure(now)
+		}
 	case pollencrank.ReasonServerReplaced:
 		backend.MarkMisdirected()
 	case pollencrank.ReasonServerUnreachable, pollencrank.ReasonServerFailed:
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,17 +63,39 @@
 	return true
 }
 
-// refuseLimited returns a NotRunError for a call that the servers' rate limits leave no
-// room for until the given time.
-func refuseLimited(call *Call, until, now time.Time) error {
-	return refusal(pollencrank.ReasonServerLimit, until.Sub(now), now,
-		"no server of %s takes the request within its rate limit", call.service.Name)
+// absence is when, and why not before, the first of the servers that cannot get a request
+// now can get one. It is zero if none is known.
+type absence struct {
+	reason pollencrank.Reason
+	until  time.Time
 }
 
-// earliest returns the earlier of two times, of which zero means none.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
+func (a *absence) add(reason pollencrank.Reason, until time.Time) {
+	if a.until.IsZero() || until.Before(a.until) {
+		*a = absence{reason: reason, until: until}
 	}
-	return a
+}
+
+// addPause adds an unusable server if it only pauses.
+func (a *absence) addPause(b *registrar.Backend, now time.Time) {
+	until := b.PausedUntil()
+	if until.After(now) && b.IsUsable(until) {
+		a.add(pollencrank.ReasonServerPaused, until)
+	}
+}
+
+func (a *absence) merge(other absence) {
+	if !other.until.IsZero() {
+		a.add(other.reason, other.until)
+	}
+}
+
+// refuse returns a NotRunError that asks the caller to come back when the first server can
+// get a request, or up to half as long again later.
+func (a *absence) refuse(call *Call, now time.Time) error {
+	err := pollencrank.NotRun(a.reason, "no server of %s takes the request before %s", call.service.Name,
+		a.until.Format(time.StampMilli))
+	pause := max(a.until.Sub(now), minRetryDelay)
+	err.RetryAt = now.Add(pause + rand.N(pause/2))
+	return err
 }
--- a/hoster/limits.go
+++ b/hoster/limits.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -26,6 +27,9 @@
 	loansPath = "/loans"
 	// maxLoanBytes limits the size of a loan request and of its answer.
 	maxLoanBytes = 1 << 10
+	// pauseSpreadDivisor divides the pause of a server: the instances return to it within
+	// this part of the pause after its end.
+	pauseSpreadDivisor = 5
 )
 
 // recordReportedLimit records the rate limit that a server names in an answer. A limit that
@@ -39,6 +43,25 @@
 	h.recordLimit(b, registrar.RateLimit{IsNamed: limit.IsNamed, PerSecond: limit.PerSecond, HeardAt: now})
 }
 
+// recordPause records that a server wants no requests for a while. The instances return at
+// different times, so that they do not overload it at the end.
+func (h *Hoster) recordPause(b *registrar.Backend, pause dispatcher.Pause, now time.Time) {
+	server := slog.String("server", b.ID())
+	if pause.IsMalformed {
+		h.config.Log.Warn("a backend server names a pause that cannot be decoded", recorder.EventServerPaused.Attr(), server)
+		return
+	}
+	if pause.For <= 0 {
+		return
+	}
+	until := now.Add(pause.For + rand.N(pause.For/pauseSpreadDivisor+time.Millisecond))
+	if !b.PausedUntil().After(now) {
+		h.config.Log.Info("a backend server wants no requests for a while", recorder.EventServerPaused.Attr(), server,
+			slog.Time("until", until))
+	}
+	b.Pause(until)
+}
+
 // recordLimit records what was heard of a server's rate limit, and logs a change.
 func (h *Hoster) recordLimit(b *registrar.Backend, heard registrar.RateLimit) {
 	if !b.RecordLimit(heard) {
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -108,6 +108,7 @@
 	if report.IsLeaving && b.MarkLeaving() {
 		h.config.Log.Info("a backend server says in an answer that it is leaving", recorder.EventServerLeaving.Attr(), slog.String("server", b.ID()))
 	}
+	h.recordPause(b, report.Pause, now)
 	h.recordReportedLimit(b, report.Limit, now)
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -27,6 +27,7 @@
 	ReasonNoServer            Reason = "noServer"
 	ReasonAllShed             Reason = "allServersShed"
 	ReasonServerLimit         Reason = "serverLimit"
+	ReasonServerPaused        Reason = "serverPaused"
 	ReasonRetryBudget         Reason = "retryBudgetSpent"
 	ReasonCallerGone          Reason = "callerGone"
 	ReasonServerUnreachable   Reason = "serverUnreachable"
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -71,6 +71,7 @@
 	EventServerUnlimited       Event = 1920
 	EventLoanFailed            Event = 1921
 	EventStoreRestored         Event = 1922
+	EventServerPaused          Event = 1923
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -137,6 +138,7 @@
 		{EventServerUnlimited, slog.LevelInfo, "A backend server no longer names such a limit."},
 		{EventLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends a request to a server that names a limit."},
 		{EventStoreRestored, slog.LevelWarn, "The platform's store has come back from an earlier copy, as its era shows; what was written since may be missing or written again."},
+		{EventServerPaused, slog.LevelInfo, "A backend server turned a request away and wants no others from this instance until the time in until."},
 	}
 }
 
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -63,6 +63,8 @@
 	// suspendedUntil is when an unreachable server is tried again.
 	suspendedUntil time.Time
 	isMisdirected  bool
+	// pausedUntil is when a server that wants no requests for a while takes them again.
+	pausedUntil time.Time
 	// quarantinedUntil is when a server that the store lists again after it had left may
 	// receive requests.
 	quarantinedUntil time.Time
@@ -100,7 +102,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.isMisdirected && !now.Before(b.suspendedUntil) && !now.Before(b.quarantinedUntil)
+	return !b.isMisdirected && !now.Before(b.suspendedUntil) && !now.Before(b.pausedUntil) && !now.Before(b.quarantinedUntil)
 }
 
 // IsCold reports whether the server is warming up.
@@ -163,6 +165,24 @@
 	HeardAt time.Time
 }
 
+// Pause records that the server wants no requests from this instance until the given
+// time. The later one of two times counts.
+func (b *Backend) Pause(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.pausedUntil) {
+		b.pausedUntil = until
+	}
+}
+
+// PausedUntil returns when the server takes requests from this instance again. It is zero
+// or past unless the server wants none.
+func (b *Backend) PausedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pausedUntil
+}
+
 // MarkLeaving records that the server has said in an answer that it leaves. It is never
 // used again, whatever the store says. MarkLeaving reports whether that is new.
 func (b *Backend) MarkLeaving() bool { return !b.hasSaidLeaving.Swap(true) }
--- a/registrar/departure_test.go
+++ b/registrar/departure_test.go
@@ -99,3 +99,17 @@
 	require.True(t, r.Find("a").IsUsable(c.now), "another start")
 	require.True(t, r.Find("b").IsUsable(c.now), "another server at its address")
 }
+
+// A server that pauses gets nothing until the latest end that it has named.
+func TestAPausingServerGetsNothingUntilThePauseEnds(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(added(server("a")))
+	a := r.Find("a")
+	a.Pause(c.now.Add(2 * time.Second))
+	a.Pause(c.now.Add(time.Second))
+	c.advance(2*time.Second - time.Millisecond)
+	require.False(t, a.IsUsable(c.now))
+	c.advance(time.Millisecond)
+	require.True(t, a.IsUsable(c.now))
+	require.Zero(t, a.Health(c.now).FailureShare)
+}
