--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -42,6 +42,8 @@
 type Backend struct {
 	server      atomic.Pointer[Server]
 	isEvacuated atomic.Bool
+	// hasSaidLeaving is set once the server has said in an answer that it leaves.
+	hasSaidLeaving atomic.Bool
 	// limit is what was last heard of the server's rate limit. It is nil if the server
 	// has never named one.
 	limit atomic.Pointer[RateLimit]
@@ -61,6 +63,8 @@
 	// suspendedUntil is when an unreachable server is tried again.
 	suspendedUntil time.Time
 	isMisdirected  bool
+	// pausedUntil is when a server that wants no requests for a while takes them again.
+	pausedUntil time.Time
 	// quarantinedUntil is when a server that the store lists again after it had left may
 	// receive requests.
 	quarantinedUntil time.Time
@@ -93,12 +97,12 @@
 
 // IsUsable reports whether the server may receive new requests.
 func (b *Backend) IsUsable(now time.Time) bool {
-	if b.isEvacuated.Load() || b.server.Load().IsLeaving {
+	if b.isEvacuated.Load() || b.hasSaidLeaving.Load() || b.server.Load().IsLeaving {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.isMisdirected && !now.Before(b.suspendedUntil) && !now.Before(b.quarantinedUntil)
+	return !b.isMisdirected && !now.Before(b.suspendedUntil) && !now.Before(b.pausedUntil) && !now.Before(b.quarantinedUntil)
 }
 
 // IsCold reports whether the server is warming up.
@@ -161,6 +165,28 @@
 	HeardAt time.Time
 }
 
+// Pause records that the server wants no requests from this instance until the given
+// time. The later one of two times counts.
+func (b *Backend) Pause(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.pausedUntil) {
+		b.pausedUntil = until
+	}
+}
+
+// PausedUntil returns when the server takes requests from this instance again. It is zero
+// or past unless the server wants none.
+func (b *Backend) PausedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pausedUntil
+}
+
+// MarkLeaving records that the server has said in an answer that it leaves. It is never
+// used again, whatever the store says. MarkLeaving reports whether that is new.
+func (b *Backend) MarkLeaving() bool { return !b.hasSaidLeaving.Swap(true) }
+
 // RecordLimit records what was heard of the server's rate limit, unless something newer is
 // known. It reports whether the limit has changed.
 func (b *Backend) RecordLimit(heard RateLimit) bool {
--- a/registrar/departure_test.go
+++ b/registrar/departure_test.go
@@ -79,3 +79,37 @@
 		})
 	}
 }
+
+// Guards against new requests to a server that has said in an answer that it leaves, while
+// the store still lists it as ready, or lists it so again.
+func TestAServerThatSaysItLeavesIsNotUsedAgain(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(inEra(t, 1, added(server("a"))))
+	a := r.Find("a")
+	require.True(t, a.MarkLeaving())
+	require.False(t, a.MarkLeaving(), "it is said once")
+	r.Servers().Apply(inEra(t, 1, added(server("a"))))
+	r.Servers().Reset(inEra(t, 2, added(server("a"))))
+	require.False(t, r.Find("a").IsUsable(c.now))
+
+	other := server("b")
+	restarted := server("a")
+	restarted.Incarnation = 2
+	r.Servers().Apply(inEra(t, 2, added(restarted, other)))
+	require.True(t, r.Find("a").IsUsable(c.now), "another start")
+	require.True(t, r.Find("b").IsUsable(c.now), "another server at its address")
+}
+
+// A server that pauses gets nothing until the latest end that it has named.
+func TestAPausingServerGetsNothingUntilThePauseEnds(t *testing.T) {
+	r, c := newRegistrar()
+	r.Servers().Reset(added(server("a")))
+	a := r.Find("a")
+	a.Pause(c.now.Add(2 * time.Second))
+	a.Pause(c.now.Add(time.Second))
+	c.advance(2*time.Second - time.Millisecond)
+	require.False(t, a.IsUsable(c.now))
+	c.advance(time.Millisecond)
+	require.True(t, a.IsUsable(c.now))
+	require.Zero(t, a.Health(c.now).FailureShare)
+}
