--- a/forwarder/choose_bench_test.go
+++ b/forwarder/choose_bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/placer"
@@ -51,3 +52,42 @@
 		})
 	}
 }
+
+// BenchmarkChooseLimited measures the refusal of a request when every server names a rate
+// limit and none has a token left.
+func BenchmarkChooseLimited(b *testing.B) {
+	for _, count := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := registrar.New(registrar.Config{Log: slog.New(slog.DiscardHandler)})
+			var items []follower.Item[registrar.Server]
+			for i := range count {
+				id := fmt.Sprintf("i-%010x", i)
+				items = append(items, follower.Item[registrar.Server]{Name: id, Value: registrar.Server{
+					ID: id, Service: "parts", Address: id, FailureDomain: "north-a", Region: "north", Slots: 5,
+				}})
+			}
+			servers.Servers().Reset(items)
+			now := time.Now()
+			for _, backend := range servers.Backends("parts") {
+				backend.RecordLimit(registrar.RateLimit{IsNamed: true, PerSecond: 1, HeardAt: now})
+			}
+			f := New(Config{
+				Region: "north", Regions: 3, Registrar: servers, Warmer: warmer.New("entry-1"), Splitter: router.NewSplitter(),
+				Budgets: NewBudgets(limiter.WindowConfig{}, 1), Distances: NewDistances("north"),
+				// An instance that has just started holds no share.
+				Limits: apportioner.New(apportioner.Config{Self: apportioner.Member{ID: "entry-1"}, StartedAt: now}),
+			})
+			route := &router.Route{Name: "r", HasAffinity: true, LatencyObjective: time.Second}
+			call := &Call{
+				Route: route, ObjectKey: "x", service: router.Service{Name: "parts"},
+				Request: &pollencrank.Request{Deadline: now.Add(time.Hour)},
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				call.key = placer.Key("parts", "x") + uint64(i%300)*0x9e3779b97f4a7c15
+				_, err := f.choose(b.Context(), call, now, 1)
+				require.Error(b, err)
+			}
+		})
+	}
+}
