fix: a fixture of the forwarder's tests counts its requests without a lock no more

The fixture's counter of requests was made for one goroutine; the fleet of this test sends from many. Change: the counter is atomic. No check changes. Measured: go test -race ./forwarder failed, passes. Conclusion: the race was in the test's own fixture; the product's code showed none.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -69,7 +69,7 @@
 	warmer    *warmer.Warmer
 	limits    *apportioner.Apportioner
 	route     router.Route
-	requests  int
+	requests  atomic.Int64
 	// suspended is the total time for which the machine was suspended, in
 	// nanoseconds; suspensionPerCall is added at each call of Config.Suspended.
 	suspended         atomic.Int64
@@ -145,15 +145,15 @@
 }
 
 func (s *system) forward(ctx context.Context, object, uri string) (*pollencrank.Answer, error) {
-	s.requests++
+	id := fmt.Sprint("request-", s.requests.Add(1))
 	table := router.NewTable(router.Configuration{Services: map[string]router.Service{
 		service: {Name: service, MaxConnections: 100, Warmup: 3 * time.Second, ColdRate: 6},
 	}})
 	return s.Forward(ctx, &forwarder.Call{
 		Table: table, Route: &s.route, ObjectKey: object,
 		Request: &pollencrank.Request{
-			ID: fmt.Sprint("request-", s.requests), Deadline: time.Now().Add(s.callerTimeout), Method: "GET", URI: uri,
-			Header:     http.Header{"X-Attempt-Id": {fmt.Sprint("request-", s.requests)}},
+			ID: id, Deadline: time.Now().Add(s.callerTimeout), Method: "GET", URI: uri,
+			Header:     http.Header{"X-Attempt-Id": {id}},
 			Idempotent: s.route.Kind.MayRepeat(),
 		},
 	})
