fix: the soak's check of reverts orders requests by when they were sent

Trace, from the entry's log: it woke from a freeze, answered 404 for /v2/ at 09.087387 and put version 2 in force at 09.089395; a request of version 2 reached its server before the caller had read the 404. The entry did not go back; the check ordered the two by when it heard of them. Change: a 404 is a revert if the request was sent after the instance had first served that version or a newer one, in the same start. As strict for every request sent after; requests that are under way together may be handled in any order. A case of each in the ledger's table. Measured: the table passes; the case fails without the change. Conclusion: a fault of the soak, not of an entry.

--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -68,9 +68,9 @@
 	// change that forbids them.
 	forbidden map[string]change
 	versions  []acceptedConfiguration
-	// newestServed is the newest version under which an instance has served a request, by
-	// instance and start number.
-	newestServed map[string]uint64
+	// servedSince is when an instance first served a request under a version, by instance
+	// and start number.
+	servedSince map[string]map[uint64]time.Time
 	// linksDisturbedUntil is the time until which requests may be delayed on the link to a
 	// server, by its ID.
 	linksDisturbedUntil map[string]time.Time
@@ -95,7 +95,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{startedAt: time.Now(), attempts: map[string]*sentAttempt{}, forbidden: map[string]change{}, newestServed: map[string]uint64{},
+	return &ledger{startedAt: time.Now(), attempts: map[string]*sentAttempt{}, forbidden: map[string]change{}, servedSince: map[string]map[uint64]time.Time{},
 		linksDisturbedUntil: map[string]time.Time{}, limits: map[string]*namedLimit{}}
 }
 
@@ -212,7 +212,12 @@
 		return
 	}
 	key := fmt.Sprintf("%s#%d", s.instance.id, s.start)
-	l.newestServed[key] = max(l.newestServed[key], version)
+	if l.servedSince[key] == nil {
+		l.servedSince[key] = map[uint64]time.Time{}
+	}
+	if _, isServed := l.servedSince[key][version]; !isServed {
+		l.servedSince[key][version] = time.Now()
+	}
 	for _, c := range l.versions {
 		// Each version drops the route of the second version before it.
 		if c.version == version+2 && l.mustHaveApplied(s, change{at: c.at, bound: configurationBound}) {
@@ -264,10 +269,9 @@
 		return
 	}
 	newest := l.versions[len(l.versions)-1].version
-	key := fmt.Sprintf("%s#%d", s.instance.id, s.start)
 	// A version's own route is dropped by the second version after it.
-	if l.newestServed[key] >= version && newest < version+2 {
-		l.addViolation("a configuration never reverts", "%s got 404 from %s, which has served version %d", s.ID, s.instance.id, l.newestServed[key])
+	if served := l.servedBefore(s, version); served > 0 && newest < version+2 {
+		l.addViolation("a configuration never reverts", "%s got 404 from %s, which has served version %d", s.ID, s.instance.id, served)
 	}
 	for _, c := range l.versions {
 		if c.version == version && newest < version+2 && l.mustHaveApplied(s, change{at: c.at, bound: configurationBound}) {
@@ -276,6 +280,18 @@
 	}
 }
 
+// servedBefore returns a version, not below the given one, under which the attempt's
+// instance had served a request before the attempt was sent, or zero. Requests that are
+// under way together may be handled in any order. The caller holds the lock.
+func (l *ledger) servedBefore(s *sentAttempt, version uint64) uint64 {
+	for served, since := range l.servedSince[fmt.Sprintf("%s#%d", s.instance.id, s.start)] {
+		if served >= version && !since.After(s.sentAt) {
+			return served
+		}
+	}
+	return 0
+}
+
 // newestVersion returns the version of the newest accepted configuration.
 func (l *ledger) newestVersion() uint64 {
 	l.mu.Lock()
--- a/soaker/ledger_test.go
+++ b/soaker/ledger_test.go
@@ -125,6 +125,13 @@
 			s.run(s.send("a", "/v3/1", false), "s1")
 			s.endAttempt(s.send("b", "/v3/1", false), notFound)
 		}, 1},
+		"a route that is served while an earlier request has not found it yet": {func(s *fixture) {
+			s.recordAccepted(3)
+			early := s.send("b", "/v3/1", false)
+			time.Sleep(time.Millisecond)
+			s.run(s.send("a", "/v3/1", false), "s1")
+			s.endAttempt(early, notFound)
+		}, 0},
 		"a dropped route that is served": {func(s *fixture) {
 			s.recordAccepted(3)
 			time.Sleep(time.Minute)
