chore: tests name the platform's headers by their constants

Cause: three new tests spelled headers of the platform outside platform/. Change: they use the constants. No check changes. Measured: go test ./dispatcher ./hoster passes for these tests.

--- a/dispatcher/report_test.go
+++ b/dispatcher/report_test.go
@@ -12,6 +12,7 @@
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/platform/wire"
 )
 
 // reports sends one request to a server and returns what it reported.
@@ -34,12 +35,12 @@
 // been given to that one.
 func TestAMisdirectedAnswerReportsNothing(t *testing.T) {
 	all, err := reports(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Server-Limit", "1")
+		w.Header().Set(wire.HeaderLimit, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	})
 	require.True(t, pollencrank.IsNotRun(err))
 	require.Empty(t, all)
-	all, err = reports(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Server-Limit", "1") })
+	all, err = reports(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderLimit, "1") })
 	require.NoError(t, err)
 	require.Len(t, all, 1)
 }
@@ -70,7 +71,7 @@
 func TestARefusalCarriesThePause(t *testing.T) {
 	before := time.Now()
 	all, err := reports(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.HeaderNotExecuted, "1")
 		w.Header().Set("Retry-After", "7.5")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
--- a/hoster/leaving_test.go
+++ b/hoster/leaving_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -18,7 +19,7 @@
 	var arrivals atomic.Int64
 	s.startServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 		arrivals.Add(1)
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(wire.HeaderLeaving, "1")
 		echo(w, r)
 	})
 	e := s.start(t, "entry-1", 1)
@@ -41,7 +42,7 @@
 			echo(w, r)
 			return
 		}
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.HeaderNotExecuted, "1")
 		w.Header().Set("Retry-After", "60")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
--- a/hoster/limit_test.go
+++ b/hoster/limit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -18,7 +19,7 @@
 	s.configure(1, "/x/")
 	s.startServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/x/limited" {
-			w.Header().Set("Server-Limit", "1000.5")
+			w.Header().Set(wire.HeaderLimit, "1000.5")
 		}
 		echo(w, r)
 	})
