--- a/review/harness/brokenDownload.go
+++ b/review/harness/brokenDownload.go
@@ -106,6 +106,10 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(downloadLimit))
+	// The first answer makes this a kept connection.
+	if first := conn.send(http.MethodGet, "/sheets/first", newID(), downloadLimit, ""); !first.isKept {
+		return 0
+	}
 	var ids []string
 	writer := bufio.NewWriter(conn)
 	for range pipelined {
--- a/review/harness/lateRefusal.go
+++ b/review/harness/lateRefusal.go
@@ -21,7 +21,7 @@
 // full. A part of the upstreams sends a small share of its answers once more, late.
 func playLateRefusal(f *fleet, withTrouble bool) (bool, error) {
 	const (
-		clients = 48
+		clients = 72
 		timeout = 4 * time.Second
 	)
 	l := &ledger{runs: map[string][]string{}, statuses: map[string]int{}}
@@ -31,7 +31,7 @@
 		return false, err
 	}
 	for i, zone := range f.site.upstreamZones {
-		u := &upstream{fleet: f, id: fmt.Sprintf("i-%d", i+1), service: "orderdesk", zone: zone, slots: 3, queue: 3, work: 40 * time.Millisecond}
+		u := &upstream{fleet: f, id: fmt.Sprintf("i-%d", i+1), service: "orderdesk", zone: zone, slots: 3, queue: 9, work: 40 * time.Millisecond}
 		if withTrouble {
 			u.isDoubled = func() bool { return garble.strikes(i) }
 		}
--- a/review/harness/uploadCrash.go
+++ b/review/harness/uploadCrash.go
@@ -25,7 +25,7 @@
 		return false, err
 	}
 	garble := earlyDose()
-	garble.pause, garble.times = time.Second, 12
+	garble.times = 7
 	if err := all.startUpstreams(f, garble, withTrouble); err != nil {
 		return false, err
 	}
@@ -40,7 +40,7 @@
 	f.superviseEntries()
 	end := garble.begin()
 	var tasks sync.WaitGroup
-	for range 12 {
+	for range 30 {
 		tasks.Go(func() { l.hire(f, end) })
 	}
 	_, count := all.sendUntil(f, end)
@@ -102,6 +102,8 @@
 func (l *ledger) hire(f *fleet, end time.Time) {
 	const timeout = 1500 * time.Millisecond
 	var conn *clientConn
+	// isKept says that the connection has served a request before.
+	isKept := false
 	for number := 0; time.Now().Before(end); number++ {
 		if conn == nil {
 			addresses := f.resolve()
@@ -114,6 +116,7 @@
 				time.Sleep(100 * time.Millisecond)
 				continue
 			}
+			isKept = false
 		}
 		id := newID()
 		f.record("client sends %s (POST /hires/%d)", id, number)
@@ -121,12 +124,13 @@
 		answer := conn.send(http.MethodPost, fmt.Sprintf("/hires/%d", number), id, timeout, "order "+id)
 		f.record("client gets %d for %s", answer.status, id)
 		l.mu.Lock()
-		if answer.status == 0 && time.Since(began) < timeout && len(l.runs[id]) > 0 {
+		if isKept && answer.status == 0 && time.Since(began) < timeout && len(l.runs[id]) > 0 {
 			l.lost++
 			f.record("LOST: order %s was passed on to %v, and its connection was closed without an answer", id, l.runs[id])
 		}
 		l.mu.Unlock()
-		if !answer.isKept {
+		isKept = answer.isKept
+		if !isKept {
 			_ = conn.Close()
 			conn = nil
 		}
