fix: an answer that belongs to another request proves nothing, and its connection is closed

Cause: dispatcher.Send took status, X-Not-Executed, 421, load, pause, limit and leaving from an answer before anything compared its ID with the request's. The late second copy of another order's refusal became the refusal of the next order on the connection.

Change: the dialect compares the ID first, for every answer. From a foreign one nothing is taken, the outcome is unknown, the connection is closed, a counter counts it. A request that the transport has already assigned to that connection and not begun to write fails as not run. Probes take no answer that names a request.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -13,17 +13,28 @@
 // countedConn counts the bytes that are passed to Write of the connection.
 type countedConn struct {
 	net.Conn
-	openedAt time.Time
-	written  atomic.Int64
+	openedAt    time.Time
+	written     atomic.Int64
+	isAbandoned atomic.Bool
 }
 
 // Write implements net.Conn. It counts the bytes before it writes them, because a
 // failed write may have sent some of them.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.isAbandoned.Load() {
+		return 0, net.ErrClosed
+	}
 	c.written.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
 
+// abandon closes the connection. A request that the transport has assigned to it and not
+// begun to write fails without a byte written.
+func (c *countedConn) abandon() {
+	c.isAbandoned.Store(true)
+	_ = c.Conn.Close()
+}
+
 // attempt records the connection of one request and how many bytes had been written to
 // that connection before the request.
 type attempt struct {
@@ -49,6 +60,13 @@
 	return conn.openedAt
 }
 
+// abandonConnection closes the connection of the request, if it has one.
+func (a *attempt) abandonConnection() {
+	if conn := a.conn.Load(); conn != nil {
+		conn.abandon()
+	}
+}
+
 // nothingWritten reports whether no byte of the request left this process.
 func (a *attempt) nothingWritten() bool {
 	conn := a.conn.Load()
--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -77,7 +77,10 @@
 	// Encode adds the system's headers to a request for target. remaining is the
 	// time until the deadline of the request.
 	Encode(header http.Header, target Target, request *pollencrank.Request, remaining time.Duration)
-	// Refusal returns whether an answer proves that the request did not run, and
+	// IsAnswerTo reports whether an answer is the one to a request. A faulty server may
+	// send the answer to another request where that one is due.
+	IsAnswerTo(request *pollencrank.Request, header http.Header) bool
+	// Refusal returns whether the answer to a request proves that it did not run, and
 	// the reason.
 	Refusal(status int, header http.Header) (pollencrank.Reason, bool)
 	// Report decodes the report of the server from the status and the headers of an answer.
@@ -93,6 +96,9 @@
 	header.Set(HeaderRank, request.Rank.String())
 }
 
+// IsAnswerTo implements Dialect. The servers name no request in their answers.
+func (defaultDialect) IsAnswerTo(*pollencrank.Request, http.Header) bool { return true }
+
 // Refusal implements Dialect.
 func (defaultDialect) Refusal(status int, header http.Header) (pollencrank.Reason, bool) {
 	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -26,6 +27,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/pollencrank/pollencrank"
 )
 
@@ -205,6 +208,12 @@
 	if err != nil {
 		return nil, attempt.classify(ctx, target, err)
 	}
+	if !d.config.Dialect.IsAnswerTo(request, response.Header) {
+		// The answers that follow on the connection are out of step, too.
+		attempt.abandonConnection()
+		_ = response.Body.Close()
+		return nil, foreignAnswer(target, response)
+	}
 	report := d.config.Dialect.Report(response.StatusCode, response.Header)
 	reason, notRun := d.config.Dialect.Refusal(response.StatusCode, response.Header)
 	// A server that was reached in place of the target reports on itself.
@@ -258,6 +267,14 @@
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
 
+// foreignAnswer returns the error of a request that has got the answer to another one. Its
+// own answer may still be on the way: the server may run it.
+func foreignAnswer(target Target, response *http.Response) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_foreign_answers_total{status="%d"}`, response.StatusCode)).Inc()
+	return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch,
+		"server %s sent an answer with status %d that does not belong to the request", target.Name, response.StatusCode)
+}
+
 func refusalError(target Target, reason pollencrank.Reason, response *http.Response, report Report) error {
 	err := pollencrank.NotRun(reason, "server %s did not run the request: status %d", target.Name, response.StatusCode)
 	if report.Pause.For > 0 {
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/pollencrank/pollencrank"
 )
 
 const (
@@ -44,7 +47,9 @@
 	if path == "" {
 		path = defaultHealthPath
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+path, nil)
+	var attempt attempt
+	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, "http://"+target.Address+path, nil)
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
@@ -52,6 +57,11 @@
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
+	if !d.config.Dialect.IsAnswerTo(&pollencrank.Request{}, response.Header) {
+		attempt.abandonConnection()
+		_ = response.Body.Close()
+		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, foreignAnswer(target, response))
+	}
 	discard(response)
 	load, err := strconv.Atoi(response.Header.Get(HeaderLoad))
 	if err != nil || load < 0 {
--- a/rerouter/hop.go
+++ b/rerouter/hop.go
@@ -102,6 +102,12 @@
 	header.Set(headerRemaining, remaining.String())
 }
 
+// IsAnswerTo implements dispatcher.Dialect. The other instance names the request as a server
+// does.
+func (d peerDialect) IsAnswerTo(request *pollencrank.Request, header http.Header) bool {
+	return d.servers.IsAnswerTo(request, header)
+}
+
 // Refusal implements dispatcher.Dialect. That the other instance does not reach a server
 // either must not look as if that instance had not been reached.
 func (peerDialect) Refusal(_ int, header http.Header) (pollencrank.Reason, bool) {
--- a/rerouter/rerouter_test.go
+++ b/rerouter/rerouter_test.go
@@ -22,6 +22,8 @@
 // serverDialect is a fake of the dialect of servers.
 type serverDialect struct{}
 
+func (serverDialect) IsAnswerTo(*pollencrank.Request, http.Header) bool { return true }
+
 func (serverDialect) Encode(http.Header, dispatcher.Target, *pollencrank.Request, time.Duration) {}
 func (serverDialect) Refusal(int, http.Header) (pollencrank.Reason, bool)                        { return "", false }
 func (serverDialect) Report(_ int, header http.Header) dispatcher.Report {
