fix: the body of a request has one reader after an early answer

Cause: the transport reads the body in the background until after the answer, and the caller's connection discards the rest of the same body once the answer is written; what that takes never reaches the server. Answers that are no refusals do the same.

Change: revoker.Reader lends the body and takes it back: before an error is answered, and after a server's answer has been passed on. Further reads fail, one under way is bounded and waited for, and the transport closes the server's connection, so a part never looks like the whole. While a server that has answered early still gets the body, the caller's connection discards nothing and closes after the answer.

--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -46,6 +46,7 @@
 			{Name: "ordering", Routes: []pollencrank.Route{{PathPrefix: "/orders"}}, Timeout: 5 * time.Second, KeyRequired: true, MaxRequestBytes: 1000},
 			{Name: "admin", Routes: []pollencrank.Route{{Host: "admin.example", PathPrefix: "/catalogue"}, {PathPrefix: "/catalogue/admin", Methods: []string{"PUT"}}},
 				Timeout: 5 * time.Second, MaxRequestBytes: 1000},
+			{Name: "uploads", Routes: []pollencrank.Route{{PathPrefix: "/uploads"}}, Timeout: 5 * time.Second, MaxRequestBytes: 1 << 20},
 		},
 	}
 	state, err := versioner.Encode(c, 7)
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/revoker"
 )
 
 // Headers that a caller sets to tighten its workload's rules for one request,
@@ -56,23 +57,38 @@
 	r.metrics.requests[request.Rank].Inc()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	setReadDeadline(w, request)
+	lent := lendBody(w, request)
+	defer lent.Revoke()
 	answer, err := r.config.Executor.Execute(ctx, request)
 	if err != nil {
-		r.refuse(w, incoming, bodyError(request, err))
+		err = bodyError(request, err)
+		lent.Revoke()
+		r.refuse(w, incoming, err)
 		return
 	}
 	defer answer.Body.Close()
+	if !lent.HasEnded() {
+		// The server has answered early. The caller's connection must not discard what is
+		// still being sent to the server.
+		w.Header().Set("Connection", "close")
+	}
 	r.writeAnswer(w, answer, request)
 	r.metrics.answered[request.Rank].Inc()
 	r.metrics.latency[request.Rank].UpdateDuration(started)
 }
 
-// setReadDeadline ends the reading of the body at the request's deadline.
-func setReadDeadline(w http.ResponseWriter, request *pollencrank.Request) {
-	if request.Body != nil {
-		_ = http.NewResponseController(w).SetReadDeadline(request.Deadline)
+// lendBody lends the body, if there is one, to whoever sends the request on, at most until
+// the request's deadline.
+func lendBody(w http.ResponseWriter, request *pollencrank.Request) *revoker.Reader {
+	body, ok := request.Body.(*limitedBody)
+	if !ok {
+		return nil
 	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(request.Deadline)
+	lent := revoker.New(revoker.Config{Source: body.source, SetReadDeadline: controller.SetReadDeadline})
+	body.source = lent
+	return lent
 }
 
 // admit matches a request to its workload and applies the workload's rules.
--- a/relayer/body.go
+++ b/relayer/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/revoker"
 	"github.com/pollencrank/pollencrank/stager"
 )
 
@@ -22,35 +23,58 @@
 	bodiesFullRetryDelay = 400 * time.Millisecond
 )
 
+// requestBody is the body of a request. It is lent to whoever sends the request on, in the
+// background until after the answer. The zero value is an empty body.
+type requestBody struct {
+	source *callerBody
+	staged *stager.Body
+}
+
 // stageBody reads the body of a request before a server is chosen, so that a slow
-// caller occupies no server. It returns the function that releases the buffer.
-func (r *Relayer) stageBody(w http.ResponseWriter, incoming *http.Request, call *forwarder.Call) (func(), error) {
+// caller occupies no server.
+func (r *Relayer) stageBody(w http.ResponseWriter, incoming *http.Request, call *forwarder.Call) (requestBody, error) {
 	if incoming.ContentLength == 0 {
-		return func() {}, nil
-	}
-	source := &callerBody{
-		body:        incoming.Body,
-		controller:  http.NewResponseController(w),
-		deadline:    call.Request.Deadline,
-		idleTimeout: call.Table.Limits.HeaderTimeout,
-		limit:       call.Table.Limits.MaxBodyBytes,
-	}
-	if source.idleTimeout <= 0 {
-		source.idleTimeout = defaultBodyIdleTimeout
+		return requestBody{}, nil
 	}
-	body, err := r.config.Stager.Stage(source, incoming.ContentLength)
+	source := newCallerBody(w, incoming, call)
+	staged, err := r.config.Stager.Stage(source, incoming.ContentLength)
 	if err != nil {
-		return nil, bodyError(err)
+		return requestBody{}, bodyError(err)
 	}
-	data, isWhole := body.Bytes()
-	if isWhole {
+	body := requestBody{source: source, staged: staged}
+	if data, isWhole := staged.Bytes(); isWhole {
 		call.Body = data
 		call.Request.ContentLength = int64(len(data))
-		return body.Release, nil
+		return body, nil
 	}
-	call.Request.Body = body.Reader()
+	call.Request.Body = staged.Reader()
 	call.BodyFailure = source.failure
-	return body.Release, nil
+	return body, nil
+}
+
+// isInUse reports whether the body may still be read by whoever sends the request on.
+func (b requestBody) isInUse() bool {
+	if b.source == nil {
+		return false
+	}
+	_, isWhole := b.staged.Bytes()
+	return !isWhole && !b.source.lent.HasEnded()
+}
+
+// takeBack ends the reading by whoever sends the request on: the rest of the body is left
+// to the caller's connection. A server that has got a part of it gets no end of it.
+func (b requestBody) takeBack() {
+	if b.source != nil {
+		b.source.lent.Revoke()
+	}
+}
+
+// release takes the body back and releases its memory.
+func (b requestBody) release() {
+	b.takeBack()
+	if b.staged != nil {
+		b.staged.Release()
+	}
 }
 
 // bodyError returns the refusal of a request whose body could not be staged. No part of
@@ -84,26 +108,47 @@
 // callerBody reads a body from its caller within the limits of the configuration. It
 // stores a read error, so that the failure is not recorded against the server.
 type callerBody struct {
-	body       io.Reader
-	controller *http.ResponseController
-	deadline   time.Time
-	// idleTimeout is the longest time in which no byte may arrive.
-	idleTimeout time.Duration
-	limit       int64
-	read        int64
-	readError   atomic.Pointer[error]
+	lent      *revoker.Reader
+	limit     int64
+	read      int64
+	readError atomic.Pointer[error]
 }
 
-// Read implements io.Reader.
-func (b *callerBody) Read(p []byte) (int, error) {
-	readDeadline := time.Now().Add(b.idleTimeout)
-	if readDeadline.After(b.deadline) {
-		readDeadline = b.deadline
+func newCallerBody(w http.ResponseWriter, incoming *http.Request, call *forwarder.Call) *callerBody {
+	controller := http.NewResponseController(w)
+	idleTimeout := call.Table.Limits.HeaderTimeout
+	if idleTimeout <= 0 {
+		idleTimeout = defaultBodyIdleTimeout
+	}
+	deadline := call.Request.Deadline
+	return &callerBody{
+		limit: call.Table.Limits.MaxBodyBytes,
+		lent: revoker.New(revoker.Config{
+			Source:          incoming.Body,
+			SetReadDeadline: func(t time.Time) error { return ignoreUnsupported(controller.SetReadDeadline(t)) },
+			NextDeadline:    func() time.Time { return earlier(time.Now().Add(idleTimeout), deadline) },
+		}),
+	}
+}
+
+// ignoreUnsupported returns err unless it says that the connection has no deadlines.
+func ignoreUnsupported(err error) error {
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
 	}
-	if err := b.controller.SetReadDeadline(readDeadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return 0, err
+	return err
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	n, err := b.body.Read(p)
+	return b
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.lent.Read(p)
 	b.read += int64(n)
 	if b.limit > 0 && b.read > b.limit {
 		err = &tooLargeError{limit: b.limit}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -164,20 +164,26 @@
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	release, err := r.stageBody(w, incoming, call)
+	body, err := r.stageBody(w, incoming, call)
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	defer release()
+	defer body.release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
 	defer cancel()
 	answer, err := r.config.Forwarder.Forward(ctx, call)
 	if err != nil {
+		body.takeBack()
 		r.writeError(w, call, headers, err, started)
 		return
 	}
 	defer answer.Body.Close()
+	if body.isInUse() {
+		// The server has answered early. The caller's connection must not discard what is
+		// still being sent to the server.
+		w.Header().Set("Connection", "close")
+	}
 	r.writeAnswer(w, answer)
 	r.recordAnswer(call, answer, started)
 }
