fix: a status of a server is no promise to callers without proof

Cause: the forwarder passed a server's answer to an order on with its status. Callers take these statuses for "not run and never will be"; a server says so only with X-Not-Executed, or with an unsigned 421.

Change: for requests that may not be repeated such an answer leaves the outcome unknown (502, refusalWithoutProof), without a second attempt.

Reproduced with real processes first: the soak has two new kinds of fault.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -34,6 +34,11 @@
 		_ = answer.Body.Close()
 		return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerMismatch, "the answer of server %s has no proof that it is its own", answer.Server)
 	}
+	if !request.Idempotent && pollencrank.PromisesNotRun(answer.Status) {
+		_ = answer.Body.Close()
+		return pollencrank.OutcomeUnknown(pollencrank.ReasonRefusalUnproven,
+			"server %s answered with status %d and no proof that the request has not run", answer.Server, answer.Status)
+	}
 	return nil
 }
 
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/rerouter"
 )
@@ -183,6 +185,10 @@
 		request.NewBody = call.newRequest
 	}
 	call.isRerouted = true
+	if call.tries() > 0 {
+		f.config.Log.Info("the request goes through another instance", recorder.EventRequestRetried.Attr(),
+			slog.String("request", call.Request.ID), slog.String("route", call.Route.Name), slog.Int("attempt", call.tries()))
+	}
 	answer, err := f.config.Rerouter.Send(ctx, request)
 	if err == nil {
 		err = verifyAnswer(answer, call.Request)
--- a/outcome.go
+++ b/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 	ReasonNotReady            Reason = "notReady"
 	ReasonServerReplaced      Reason = "serverReplaced"
 	ReasonAnswerMismatch      Reason = "answerOfAnotherRequest"
+	ReasonRefusalUnproven     Reason = "refusalWithoutProof"
 	ReasonTooManyConnections  Reason = "tooManyRequests"
 	ReasonRouteUnreadable     Reason = "routeUnreadable"
 	ReasonBodyTimeout         Reason = "bodyTimeout"
@@ -94,6 +96,16 @@
 	return errors.As(err, &notRun)
 }
 
+// PromisesNotRun reports whether callers take the status of an answer for a promise that
+// the request has not run and never will. Servers prove it otherwise.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Failure combines the errors of the failed attempts of a request. If any
 // attempt may have run, the request may have run.
 type Failure struct {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -350,11 +350,12 @@
 }
 
 // recordAnswer records the duration of an answered request and logs a sample of the
-// answers; those with a server error are always logged.
+// answers; those that callers take for a failure or a refusal are always logged.
 func (r *Relayer) recordAnswer(call *forwarder.Call, answer *pollencrank.Answer, started time.Time) {
 	took := time.Since(started)
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_answer_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
-	if answer.Status < 500 && r.answered.Add(1)%uint64(r.config.SampleEvery) != 0 {
+	isServed := answer.Status < 500 && !pollencrank.PromisesNotRun(answer.Status)
+	if isServed && r.answered.Add(1)%uint64(r.config.SampleEvery) != 0 {
 		return
 	}
 	attributes := []any{
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -292,3 +292,24 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, "served", body)
 }
+
+// Guards against a refusal that nobody finds in the log: a server's own one was sampled like
+// a success.
+func TestAServersRefusalIsAlwaysLogged(t *testing.T) {
+	for status, isLogged := range map[int]bool{200: false, 404: false, 408: true, 421: true, 429: true, 500: true, 503: true} {
+		var log strings.Builder
+		table := newTable()
+		r := relayer.New(relayer.Config{
+			Table: func() *router.Table { return table }, Dialect: dialect{}, SampleEvery: 1000, Log: slog.New(slog.NewTextHandler(&log, nil)),
+			Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
+				a := answer("x")
+				a.Status = status
+				return a, nil
+			}),
+		})
+		incoming := httptest.NewRequest(http.MethodGet, "http://a.example/x/1", nil)
+		incoming.Header.Set("Test-Id", "request-1")
+		r.ServeHTTP(httptest.NewRecorder(), incoming)
+		require.Equal(t, isLogged, strings.Contains(log.String(), "request-1"), "%d", status)
+	}
+}
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -117,6 +117,8 @@
 		{"serverLimited", s.limitServer},
 		{"cutSilent", s.cutFromServers(serverCut{})}, {"cutReset", s.cutFromServers(serverCut{resets: true})},
 		{"cutForNew", s.cutFromServers(serverCut{keepsOpen: true})},
+		{"answersTwice", s.misbehave(imitator.Misbehaviour{Refused: 0.5, Repeated: 0.1})},
+		{"failsAfterRun", s.misbehave(imitator.Misbehaviour{FailedAfterRun: 0.3})},
 	}
 	if len(s.config.Only) == 0 {
 		return s.chooseKinds(all)
@@ -369,6 +371,16 @@
 	b.LoseAnswers(0)
 }
 
+// misbehave returns a fault in which a server misbehaves for a while.
+func (s *soak) misbehave(m imitator.Misbehaviour) func(context.Context, time.Duration, uint64) {
+	return func(ctx context.Context, span time.Duration, choice uint64) {
+		b := s.pickServer(choice)
+		b.Misbehave(m)
+		sleep(ctx, span)
+		b.Misbehave(imitator.Misbehaviour{})
+	}
+}
+
 func (s *soak) slowServer(ctx context.Context, span time.Duration, choice uint64) {
 	const factor = 5
 	b := s.pickServer(choice)
