fix: a connection whose request is given up on is reset

Cause: net/http closes the connection of a request that is given up on in order, and the kernel goes on sending what it holds.

Change: the dispatcher's connections know whether a request has been answered to its end; if not, Close resets. Idle connections close in order.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -16,6 +16,8 @@
 	openedAt    time.Time
 	written     atomic.Int64
 	isAbandoned atomic.Bool
+	// user is the attempt whose request has not been answered to its end, if any.
+	user atomic.Pointer[attempt]
 }
 
 // Write implements net.Conn. It counts the bytes before it writes them, because a
@@ -32,7 +34,17 @@
 // begun to write fails without a byte written.
 func (c *countedConn) abandon() {
 	c.isAbandoned.Store(true)
-	_ = c.Conn.Close()
+	_ = c.Close()
+}
+
+// Close implements net.Conn. If a request has not been answered to its end, it resets the
+// connection: the kernel would otherwise go on sending what it still holds of a request that
+// has been given up on, and the server would get it after any time.
+func (c *countedConn) Close() error {
+	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.user.Load() != nil {
+		_ = lingerer.SetLinger(0)
+	}
+	return c.Conn.Close()
 }
 
 // attempt records the connection of one request and how many bytes had been written to
@@ -40,6 +52,12 @@
 type attempt struct {
 	conn          atomic.Pointer[countedConn]
 	writtenBefore atomic.Int64
+	isWritten     atomic.Bool
+}
+
+// withTrace returns a context in which a transport reports to the attempt.
+func (a *attempt) withTrace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn, WroteRequest: a.wroteRequest})
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
@@ -48,9 +66,24 @@
 		return
 	}
 	a.writtenBefore.Store(conn.written.Load())
+	conn.user.Store(a)
 	a.conn.Store(conn)
 }
 
+func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
+	if info.Err == nil {
+		a.isWritten.Store(true)
+	}
+}
+
+// finish records that the answer has ended. The connection is still the attempt's if the
+// request has not been written to its end.
+func (a *attempt) finish() {
+	if conn := a.conn.Load(); conn != nil && a.isWritten.Load() {
+		conn.user.CompareAndSwap(a, nil)
+	}
+}
+
 // connectedAt returns when the connection of the request was opened.
 func (a *attempt) connectedAt() time.Time {
 	conn := a.conn.Load()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,7 +22,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,8 +198,7 @@
 // OutcomeUnknownError.
 func (d *Dispatcher) Send(ctx context.Context, target Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
 	var attempt attempt
-	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
-	outgoing, err := d.newOutgoing(httptrace.WithClientTrace(ctx, trace), target, request)
+	outgoing, err := d.newOutgoing(attempt.withTrace(ctx), target, request)
 	if err != nil {
 		return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
 	}
@@ -221,12 +219,11 @@
 		d.config.OnReport(target, report)
 	}
 	if notRun {
+		attempt.finish()
 		go discard(response)
 		return nil, refusalError(target, reason, response, report)
 	}
-	answer := newAnswer(target, response, report)
-	answer.ConnectedAt = attempt.connectedAt()
-	return answer, nil
+	return newAnswer(target, response, report, &attempt), nil
 }
 
 func (d *Dispatcher) newOutgoing(ctx context.Context, target Target, request *pollencrank.Request) (*http.Request, error) {
@@ -295,7 +292,7 @@
 	_ = response.Body.Close()
 }
 
-func newAnswer(target Target, response *http.Response, report Report) *pollencrank.Answer {
+func newAnswer(target Target, response *http.Response, report Report, attempt *attempt) *pollencrank.Answer {
 	answer := &pollencrank.Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
@@ -303,16 +300,19 @@
 		Server:        target.Name,
 		RequestID:     report.RequestID,
 		IsGenuine:     report.IsSigned && !report.HasContentEncoding,
+		ConnectedAt:   attempt.connectedAt(),
 	}
-	answer.Body = &answerBody{ReadCloser: response.Body, response: response, answer: answer}
+	answer.Body = &answerBody{ReadCloser: response.Body, response: response, answer: answer, attempt: attempt}
 	return answer
 }
 
-// answerBody copies the trailer to the answer at the end of the body.
+// answerBody copies the trailer to the answer at the end of the body, and finishes the
+// attempt.
 type answerBody struct {
 	io.ReadCloser
 	response *http.Response
 	answer   *pollencrank.Answer
+	attempt  *attempt
 }
 
 // Read implements io.Reader.
@@ -320,6 +320,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.answer.Trailer = b.response.Trailer
+		b.attempt.finish()
 	}
 	return n, err
 }
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -48,8 +47,7 @@
 		path = defaultHealthPath
 	}
 	var attempt attempt
-	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, "http://"+target.Address+path, nil)
+	request, err := http.NewRequestWithContext(attempt.withTrace(ctx), http.MethodGet, "http://"+target.Address+path, nil)
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
@@ -62,6 +60,7 @@
 		_ = response.Body.Close()
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, foreignAnswer(target, response))
 	}
+	attempt.finish()
 	discard(response)
 	load, err := strconv.Atoi(response.Header.Get(HeaderLoad))
 	if err != nil || load < 0 {
