fix: a request that is given an abandoned connection takes another one

A request that followed a foreign answer at once could be given the connection that had just been closed for it: it failed as not run, and its sound server counted as unreachable.

Cause: the transport puts a connection back before an answer without a body is returned, so the next request may take it before the transport sees that it is closed.

Change: nothing is written to an abandoned connection, so Send takes the next one if the request can be sent from its start. An upload that is streamed ends as not run, without blame for the server's link.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// metAbandonedConnection reports whether the transport assigned a connection to the request
+// that had been abandoned, so that nothing of the request was written.
+func (a *attempt) metAbandonedConnection() bool {
+	conn := a.conn.Load()
+	return conn != nil && conn.isAbandoned.Load() && a.nothingWritten()
+}
+
 // nothingWritten reports whether no byte of the request left this process.
 func (a *attempt) nothingWritten() bool {
 	conn := a.conn.Load()
@@ -116,6 +123,8 @@
 		reason = pollencrank.ReasonCallerGone
 	case a.conn.Load() == nil:
 		reason = pollencrank.ReasonServerUnreachable
+	case a.metAbandonedConnection():
+		reason = pollencrank.ReasonAnswerMismatch
 	}
 	if a.nothingWritten() {
 		return pollencrank.NotRun(reason, "server %s: %v", target.Name, cause)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -197,15 +197,44 @@
 // NotRunError if the request provably did not run, and otherwise an
 // OutcomeUnknownError.
 func (d *Dispatcher) Send(ctx context.Context, target Target, request *pollencrank.Request) (*pollencrank.Answer, error) {
-	var attempt attempt
-	outgoing, err := d.newOutgoing(attempt.withTrace(ctx), target, request)
-	if err != nil {
-		return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
+	rewind := rewinder(request)
+	for {
+		attempt := &attempt{}
+		outgoing, err := d.newOutgoing(attempt.withTrace(ctx), target, request)
+		if err != nil {
+			return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
+		}
+		response, err := d.transport(target).RoundTrip(outgoing)
+		if err == nil {
+			return d.receive(target, request, response, attempt)
+		}
+		if !attempt.metAbandonedConnection() || ctx.Err() != nil || !rewind() {
+			return nil, attempt.classify(ctx, target, err)
+		}
 	}
-	response, err := d.transport(target).RoundTrip(outgoing)
-	if err != nil {
-		return nil, attempt.classify(ctx, target, err)
+}
+
+// rewinder returns a function that prepares a request to be sent once more from its start,
+// and reports whether that is possible.
+func rewinder(request *pollencrank.Request) func() bool {
+	if request.Body == nil || request.ContentLength == 0 {
+		return func() bool { return true }
+	}
+	seeker, ok := request.Body.(io.Seeker)
+	if !ok {
+		return func() bool { return false }
+	}
+	start, err := seeker.Seek(0, io.SeekCurrent)
+	return func() bool {
+		if err == nil {
+			_, err = seeker.Seek(start, io.SeekStart)
+		}
+		return err == nil
 	}
+}
+
+// receive returns the answer of a server, or the error that it stands for.
+func (d *Dispatcher) receive(target Target, request *pollencrank.Request, response *http.Response, attempt *attempt) (*pollencrank.Answer, error) {
 	if !d.config.Dialect.IsAnswerTo(request, response.Header) {
 		// The answers that follow on the connection are out of step, too.
 		attempt.abandonConnection()
@@ -223,7 +252,7 @@
 		go discard(response)
 		return nil, refusalError(target, reason, response, report)
 	}
-	return newAnswer(target, response, report, &attempt), nil
+	return newAnswer(target, response, report, attempt), nil
 }
 
 func (d *Dispatcher) newOutgoing(ctx context.Context, target Target, request *pollencrank.Request) (*http.Request, error) {
