fix: nothing is sent on behind an answer that may break off on its way to the caller

Cause: requests that may be repeated are sent on at once. An answer of more than 1 MiB is streamed; if it breaks off, closing the connection is the only way to show it, and the answers behind it have no place.

Change: for a minute after an answer that was not held as a whole, requests of its route run alone on their connection. What is behind them counts as not read.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -74,6 +74,7 @@
 	if data, isWhole := body.Bytes(); isWhole {
 		_ = source.Close()
 		answer.ContentLength = int64(len(data))
+		answer.IsWhole = true
 		answer.Body = &bufferedBody{Reader: body.Reader(), body: body}
 		return nil
 	}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -264,6 +264,7 @@
 	callers := pipeliner.New(pipeliner.Config{
 		Handler:           h.relayer,
 		MayOverlap:        h.relayer.MayOverlap,
+		RunsAlone:         h.relayer.RunsAlone,
 		ConnState:         h.idles.Track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -46,6 +46,9 @@
 	cancel context.CancelFunc
 	// slots holds an element for each running exchange.
 	slots chan struct{}
+	// lastRunsAlone says that no request may run beside the last one that was begun. Only
+	// the goroutine that reads requests uses it.
+	lastRunsAlone bool
 
 	mu sync.Mutex
 	// last is the most recent exchange, or nil if all exchanges have ended.
@@ -174,9 +177,11 @@
 	case <-c.ctx.Done():
 		return nil, false
 	}
-	if !c.server.config.MayOverlap(request) {
+	runsAlone := c.server.config.RunsAlone(request)
+	if runsAlone || c.lastRunsAlone || !c.server.config.MayOverlap(request) {
 		c.awaitAll()
 	}
+	c.lastRunsAlone = runsAlone
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isReading = false
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -47,6 +47,10 @@
 	// MayOverlap reports whether a request may run while earlier requests of its
 	// connection are unanswered. By default no request may.
 	MayOverlap func(r *http.Request) bool
+	// RunsAlone reports whether no other request of its connection may run beside a
+	// request, also none behind it: its answer may break off after a part has been sent,
+	// and no other answer can follow then. By default none runs alone.
+	RunsAlone func(r *http.Request) bool
 	// ReadHeaderTimeout bounds the time from the first byte of a request to the
 	// end of its header.
 	ReadHeaderTimeout time.Duration
@@ -79,6 +83,9 @@
 	if config.MayOverlap == nil {
 		config.MayOverlap = func(*http.Request) bool { return false }
 	}
+	if config.RunsAlone == nil {
+		config.RunsAlone = func(*http.Request) bool { return false }
+	}
 	if config.ConnState == nil {
 		config.ConnState = func(net.Conn, http.ConnState) {}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,6 +101,9 @@
 	answered atomic.Uint64
 	// rerouted counts the requests of other instances that are not answered yet.
 	rerouted atomic.Int64
+	// streamedRoutes are the routes that have lately had answers which were not held as a
+	// whole.
+	streamedRoutes recentNames
 	// isStopping makes the Relayer close every connection after its next answer;
 	// isClosed makes it refuse further requests.
 	isStopping atomic.Bool
@@ -138,6 +141,17 @@
 	return route == nil || route.Kind.MayRepeat()
 }
 
+// RunsAlone reports whether no other request of its connection may be sent on beside a
+// request, because its route has lately had answers that are not held as a whole.
+func (r *Relayer) RunsAlone(incoming *http.Request) bool {
+	table := r.config.Table()
+	if table == nil {
+		return false
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	return route != nil && r.streamedRoutes.has(route.Name, time.Now())
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) { r.serve(w, incoming, nil) }
 
@@ -179,6 +193,9 @@
 		return
 	}
 	defer answer.Body.Close()
+	if !answer.IsWhole {
+		r.streamedRoutes.add(call.Route.Name, time.Now())
+	}
 	if body.isInUse() {
 		// The server has answered early. The caller's connection must not discard what is
 		// still being sent to the server.
--- a/request.go
+++ b/request.go
@@ -50,7 +50,9 @@
 	// ConnectedAt is when the connection that the answer came on was opened. It is zero
 	// if that is not known.
 	ConnectedAt time.Time
-	Body        io.ReadCloser
+	// IsWhole reports whether the whole body is held: reading it cannot fail.
+	IsWhole bool
+	Body    io.ReadCloser
 	// Trailer is filled in by the time Body returns io.EOF.
 	Trailer http.Header
 }
