test: the waits for members that are gone and after a start are noticed at the server

Holders that leave in series, and instances that are replaced in series, with news as late as it may be; requests are counted at the server, over all instances, against the users' bound (125 in 4 s at 20 a second).

--- a/apportioner/membership_test.go
+++ b/apportioner/membership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,3 +58,51 @@
 	m.Set(membersOf(8), now.Add(time.Second))
 	require.Equal(t, 8, m.Count(10*time.Second, now.Add(time.Second)), "a member that comes back counts once")
 }
+
+// drain lets instances perform a planned stop. They are no longer listed, and learn of it as
+// late as they may; all others learn of it at once.
+func (f *fleet) drain(ids []string) {
+	for _, i := range f.instances {
+		i.learnsAt = f.now
+	}
+	for _, id := range ids {
+		i := f.instances[id]
+		i.isListed = false
+		i.learnsAt = f.now.Add(newsDelay)
+		i.endsAt = f.now.Add(drainTime)
+	}
+}
+
+// Guards against a limit that is used twice while holders leave: their successors must wait
+// until those that leave have learned of it. Counted at the server, over all instances.
+func TestSuccessorsOfHoldersThatLeaveWait(t *testing.T) {
+	f := newFleet(20, 400)
+	var leaving []string
+	for range 12 {
+		f.senders = map[string]bool{}
+		f.advance(newsDelay)
+		leaving = slices.DeleteFunc(slices.Sorted(maps.Keys(f.senders)), func(id string) bool { return slices.Contains(leaving, id) })
+		f.drain(leaving)
+	}
+	require.NotEmpty(t, f.arrivals)
+	f.requireBound(t)
+}
+
+// Guards against a limit that is used twice while instances are replaced: those that start
+// know nothing of the ones they replace, and must wait until these have stopped. Counted at
+// the server, over all instances.
+func TestInstancesThatStartInPlaceOfOthersWait(t *testing.T) {
+	const size = 3
+	f := newFleet(20, size)
+	for range 12 {
+		f.advance(newsDelay)
+		leaving := slices.DeleteFunc(f.ids(), func(id string) bool { return !f.instances[id].isListed })
+		for range size {
+			f.startInstance(f.now)
+		}
+		f.drain(leaving)
+	}
+	f.advance(2 * window)
+	require.NotEmpty(t, f.arrivals)
+	f.requireBound(t)
+}
