--- a/apportioner/membership_test.go
+++ b/apportioner/membership_test.go
@@ -76,9 +76,9 @@
 // Guards against a limit that is used twice while holders leave: their successors must wait
 // until those that leave have learned of it. Counted at the server, over all instances.
 func TestSuccessorsOfHoldersThatLeaveWait(t *testing.T) {
-	f := newFleet(20, 400)
+	f := newFleet(20, 300)
 	var leaving []string
-	for range 12 {
+	for range 6 {
 		f.senders = map[string]bool{}
 		f.advance(newsDelay)
 		leaving = slices.DeleteFunc(slices.Sorted(maps.Keys(f.senders)), func(id string) bool { return slices.Contains(leaving, id) })
