--- a/dispatcher/abandoned_test.go
+++ b/dispatcher/abandoned_test.go
@@ -13,37 +13,28 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/internal/standin"
 )
 
 // startRecordingServer starts a server that sends the given answer to each request, and the
 // error with which each connection ends to the channel.
 func startRecordingServer(t *testing.T, answer string) (address string, ends <-chan error) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	results := make(chan error, 10)
-	go func() {
+	listener, err := standin.Listen(func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
+				results <- err
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						results <- err
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, answer)
 		}
-	}()
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String(), results
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -119,30 +119,20 @@
 // for each of them. handle writes the answer, if any, to conn.
 func rawServer(t *testing.T, handle func(conn net.Conn, number int64)) (address string, requests *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	requests = &atomic.Int64{}
-	go func() {
+	listener, err := standin.Listen(func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					handle(conn, requests.Add(1))
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			handle(conn, requests.Add(1))
 		}
-	}()
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String(), requests
 }
 
--- a/dispatcher/foreign_test.go
+++ b/dispatcher/foreign_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/internal/standin"
 	"github.com/pollencrank/pollencrank/platform"
 	"github.com/pollencrank/pollencrank/platform/wire"
 )
@@ -32,26 +33,17 @@
 
 func startDoublingServer(t *testing.T, answer func(id string) string) *doublingServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &doublingServer{answer: answer, runs: map[string]int{}}
+	listener, err := standin.Listen(s.serve)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &doublingServer{address: listener.Addr().String(), answer: answer, runs: map[string]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s.address = listener.Addr().String()
 	return s
 }
 
 // serve answers the requests of a connection. After an extra answer it is one answer
 // behind: it sends each further answer when the next request has arrived.
 func (s *doublingServer) serve(conn net.Conn) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	isBehind := false
 	for {
