test: an upload that reaches no server is not waited for

A streamed upload that is given a connection just closed for a foreign answer ends as not run; the test now counts that as an empty upload. What servers get is checked as before.

--- a/relayer/early_test.go
+++ b/relayer/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -42,7 +43,11 @@
 			t.Cleanup(d.Close)
 			target := dispatcher.Target{Name: "i-1", Address: listener.Addr().String()}
 			address := serveUploads(t, 1<<20, 1<<20, func(ctx context.Context, call *forwarder.Call) (*pollencrank.Answer, error) {
-				return d.Send(ctx, target, call.Request)
+				answer, err := d.Send(ctx, target, call.Request)
+				if pollencrank.IsNotRun(err) && !isRefused(err) {
+					server.Uploads <- standin.Upload{Err: err}
+				}
+				return answer, err
 			})
 			sent := standin.OffsetLines(bodyBytes)
 			for n := range uploads {
@@ -59,3 +64,11 @@
 		})
 	}
 }
+
+// isRefused reports whether a server has refused a request. Other requests that have not run
+// have not reached one: a streamed upload may be given a connection that has just been closed
+// for a foreign answer.
+func isRefused(err error) bool {
+	var notRun *pollencrank.NotRunError
+	return errors.As(err, &notRun) && notRun.Reason == pollencrank.ReasonAllShed
+}
