--- a/dispatcher/foreign_test.go
+++ b/dispatcher/foreign_test.go
@@ -99,16 +99,16 @@
 
 // foreignAnswers are answers that belong to another request than the one that is sent.
 var foreignAnswers = map[string]string{
-	"refusal":             "HTTP/1.1 503 Full\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	"refusal with a body": "HTTP/1.1 503 Full\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 9\r\nContent-Length: 4\r\n\r\nfull",
-	"misdirected":         "HTTP/1.1 421 No\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	"too many requests":   "HTTP/1.1 429 No\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
-	"success":             "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
-	"empty success":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
-	"failure":             "HTTP/1.1 500 No\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
-	"health":              "HTTP/1.1 503 Leaving\r\nX-Instance-Id: i-1\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n",
-	"refusal without ID":  "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	"refusal, two IDs":    "HTTP/1.1 503 Full\r\nX-Attempt-Id: b\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"refusal":             "HTTP/1.1 503 Full\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+	"refusal with a body": "HTTP/1.1 503 Full\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderNotExecuted + ": 1\r\n" + wire.HeaderLeaving + ": 1\r\nRetry-After: 9\r\nContent-Length: 4\r\n\r\nfull",
+	"misdirected":         "HTTP/1.1 421 No\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+	"too many requests":   "HTTP/1.1 429 No\r\n" + wire.HeaderAttempt + ": a\r\nContent-Length: 0\r\n\r\n",
+	"success":             "HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 2\r\n\r\nok",
+	"empty success":       "HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 0\r\n\r\n",
+	"failure":             "HTTP/1.1 500 No\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 0\r\n\r\n",
+	"health":              "HTTP/1.1 503 Leaving\r\n" + wire.HeaderInstance + ": i-1\r\n" + wire.HeaderLoad + ": 0,0,4\r\nContent-Length: 0\r\n\r\n",
+	"refusal without ID":  "HTTP/1.1 503 Full\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+	"refusal, two IDs":    "HTTP/1.1 503 Full\r\n" + wire.HeaderAttempt + ": b\r\n" + wire.HeaderAttempt + ": a\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
 }
 
 // Guards against an order that runs twice, or is refused though it runs: the late second
@@ -170,7 +170,7 @@
 func TestAProbeTakesNoAnswerToARequest(t *testing.T) {
 	server := startDoublingServer(t, func(id string) string {
 		if id == "" {
-			return "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+			return "HTTP/1.1 200 OK\r\n" + wire.HeaderInstance + ": i-1\r\nContent-Length: 0\r\n\r\n"
 		}
 		return ownAnswer(id)
 	})
--- a/relayer/early_test.go
+++ b/relayer/early_test.go
@@ -24,12 +24,12 @@
 func TestAnEarlyAnswerLeavesTheBodyToOneReader(t *testing.T) {
 	const uploads, bodyBytes, chunkBytes = 20, 400_000, 4000
 	for name, answer := range map[string]string{
-		"refusal":       "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nfull\n",
-		"empty refusal": "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"foreign":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: another-%s\r\nContent-Length: 0\r\n\r\n",
-		"failure":       "HTTP/1.1 500 No\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: 3\r\n\r\nno\n",
-		"success":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: 3\r\n\r\nok\n",
-		"empty success": "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
+		"refusal":       "HTTP/1.1 503 Full\r\n" + wire.HeaderAttempt + ": %s\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 5\r\n\r\nfull\n",
+		"empty refusal": "HTTP/1.1 503 Full\r\n" + wire.HeaderAttempt + ": %s\r\n" + wire.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"foreign":       "HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": another-%s\r\nContent-Length: 0\r\n\r\n",
+		"failure":       "HTTP/1.1 500 No\r\n" + wire.HeaderAttempt + ": %s\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 3\r\n\r\nno\n",
+		"success":       "HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": %s\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 3\r\n\r\nok\n",
+		"empty success": "HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": %s\r\n" + wire.HeaderSignature + ": s\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := standin.EarlyServer{
@@ -52,7 +52,7 @@
 			sent := standin.OffsetLines(bodyBytes)
 			for n := range uploads {
 				conn, _ := connect(t, address)
-				head := fmt.Sprintf("POST /u/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: %d\r\nX-Attempt-Id: %d\r\n", n, n)
+				head := fmt.Sprintf("POST /u/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: %d\r\n"+wire.HeaderAttempt+": %d\r\n", n, n)
 				_, err := standin.SendChunked(conn, head, sent, chunkBytes)
 				require.NoError(t, err)
 				got := <-server.Uploads
