--- a/rerouter/upgrade_test.go
+++ b/rerouter/upgrade_test.go
@@ -17,6 +17,7 @@
 	"github.com/pollencrank/pollencrank/internal/standin"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/rerouter"
 )
 
@@ -47,7 +48,7 @@
 	const id = "46f3f9480b56137b"
 	newRequest := func() *pollencrank.Request {
 		return &pollencrank.Request{ID: id, Method: http.MethodPost, Host: "a.example", URI: "/x/1",
-			Header: http.Header{"X-Attempt-Id": {id}}, Deadline: time.Now().Add(time.Minute)}
+			Header: http.Header{wire.HeaderAttempt: {id}}, Deadline: time.Now().Add(time.Minute)}
 	}
 	return r.Send(t.Context(), rerouter.Request{Request: newRequest(), NewBody: newRequest, IsAllowed: anyRegion, Hop: rerouter.Hop{MaxAttempts: 1}})
 }
