test: four mechanisms that no test missed when they were taken out

Not noticed: the write to an abandoned connection, the wait of Revoke, the mark of whole answers, the log line of rerouted requests, both of the receiver. New checks for the first three; the receiver's caller now sends the second half of its upload when the server has answered.

--- a/dispatcher/foreign_test.go
+++ b/dispatcher/foreign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -187,3 +188,36 @@
 	require.NoError(t, answer.Body.Close())
 	require.Equal(t, "b", answer.RequestID)
 }
+
+// unclosedConn is a connection that stays open when it is closed.
+type unclosedConn struct{ net.Conn }
+
+// Close implements net.Conn.
+func (unclosedConn) Close() error { return nil }
+
+// Guards against a request that is written to an abandoned connection before the transport
+// has noticed that it is closed.
+func TestNothingIsWrittenToAnAbandonedConnection(t *testing.T) {
+	server := startDoublingServer(t, ownAnswer)
+	d := dispatcher.New(dispatcher.Config{
+		Dialect: platform.Dialect{},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			return unclosedConn{conn}, nil
+		},
+	})
+	defer d.Close()
+	target := dispatcher.Target{Name: "i-1", Address: server.address}
+	server.double(foreignAnswers["refusal"])
+	_, err := d.Send(t.Context(), target, orderWithID("b"))
+	require.Error(t, err)
+	answer, err := d.Send(t.Context(), target, orderWithID("c"))
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.Equal(t, "c", answer.RequestID)
+	require.Equal(t, 1, server.runsOf("c"))
+}
--- a/forwarder/answer_test.go
+++ b/forwarder/answer_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -45,3 +47,21 @@
 		}
 	}
 }
+
+// Guards against an answer that may still break off and is taken for one that is held, or the
+// reverse.
+func TestAnAnswerIsWholeIfItIsHeld(t *testing.T) {
+	for length, isWhole := range map[int]bool{0: true, 1000: true, 2 << 20: false} {
+		s := newSystem(t)
+		s.sender.reply = func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+			a := soundAnswer(server, r)
+			a.ContentLength = int64(length)
+			a.Body = io.NopCloser(bytes.NewReader(make([]byte, length)))
+			return a, nil
+		}
+		answer, err := s.forwardRequest(t.Context(), "17")
+		require.NoError(t, err)
+		require.Equal(t, isWhole, answer.IsWhole, "%d bytes", length)
+		require.NoError(t, answer.Body.Close())
+	}
+}
--- a/internal/standin/early.go
+++ b/internal/standin/early.go
@@ -71,11 +71,16 @@
 }
 
 // SendChunked sends the head of a request, without the line that ends it, and its body in
-// chunks. It reads and returns the answer, whose body has been read, meanwhile.
-func SendChunked(conn net.Conn, head string, body []byte, chunkBytes int) (*http.Response, error) {
+// chunks. It reads and returns the answer, whose body has been read, meanwhile. halfSent, if
+// set, is called when half of the body has been sent.
+func SendChunked(conn net.Conn, head string, body []byte, chunkBytes int, halfSent func()) (*http.Response, error) {
 	go func() {
 		_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n")
 		for rest := body; len(rest) > 0; rest = rest[min(len(rest), chunkBytes):] {
+			if halfSent != nil && len(rest) <= len(body)/2 {
+				halfSent()
+				halfSent = nil
+			}
 			chunk := rest[:min(len(rest), chunkBytes)]
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(chunk), chunk); err != nil {
 				return
--- a/receiver/early_test.go
+++ b/receiver/early_test.go
@@ -19,7 +19,7 @@
 func TestAnEarlyAnswerLeavesTheBodyToOneReader(t *testing.T) {
 	const uploads, bodyBytes, chunkBytes = 20, 200_000, 4000
 	for name, answer := range map[string]string{
-		"refusal": "HTTP/1.1 503 Full\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+		"refusal": "HTTP/1.1 503 Full\r\nX-Not-Run: true\r\nContent-Length: 5\r\n\r\nfull\n",
 		"success": "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -32,14 +32,16 @@
 			d := dispatcher.New(dispatcher.Config{})
 			t.Cleanup(d.Close)
 			target := dispatcher.Target{Name: "s", Address: listener.Addr().String()}
+			answered := make(chan struct{}, uploads)
 			address := start(t, func(ctx context.Context, request *pollencrank.Request) (*pollencrank.Answer, error) {
+				defer func() { answered <- struct{}{} }()
 				return d.Send(ctx, target, request)
 			}, nil)
 			sent := standin.OffsetLines(bodyBytes)
 			for range uploads {
 				conn, err := net.Dial("tcp", address)
 				require.NoError(t, err)
-				_, err = standin.SendChunked(conn, "POST /uploads/1 HTTP/1.1\r\nHost: a.example\r\n", sent, chunkBytes)
+				_, err = standin.SendChunked(conn, "POST /uploads/1 HTTP/1.1\r\nHost: a.example\r\n", sent, chunkBytes, func() { <-answered })
 				require.NoError(t, err)
 				require.NoError(t, conn.Close())
 				got := <-server.Uploads
--- a/relayer/early_test.go
+++ b/relayer/early_test.go
@@ -53,7 +53,7 @@
 			for n := range uploads {
 				conn, _ := connect(t, address)
 				head := fmt.Sprintf("POST /u/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: %d\r\n"+wire.HeaderAttempt+": %d\r\n", n, n)
-				_, err := standin.SendChunked(conn, head, sent, chunkBytes)
+				_, err := standin.SendChunked(conn, head, sent, chunkBytes, nil)
 				require.NoError(t, err)
 				got := <-server.Uploads
 				require.True(t, bytes.HasPrefix(sent, got.Body), "pieces are missing")
--- a/revoker/revoker_test.go
+++ b/revoker/revoker_test.go
@@ -16,8 +16,9 @@
 
 // slowSource gives one byte a second. SetReadDeadline interrupts it.
 type slowSource struct {
-	deadline atomic.Pointer[time.Time]
-	reads    int
+	deadline  atomic.Pointer[time.Time]
+	reads     int
+	isReading atomic.Bool
 }
 
 var errTimeout = errors.New("timeout")
@@ -29,6 +30,8 @@
 
 func (s *slowSource) Read(p []byte) (int, error) {
 	s.reads++
+	s.isReading.Store(true)
+	defer s.isReading.Store(false)
 	next := time.Now().Add(time.Second)
 	for time.Now().Before(next) {
 		if deadline := s.deadline.Load(); deadline != nil && !time.Now().Before(*deadline) {
@@ -53,6 +56,7 @@
 		}()
 		synctest.Wait()
 		r.Revoke()
+		require.False(t, source.isReading.Load(), "the read under way has ended")
 		require.Equal(t, 1, source.reads)
 		require.ErrorIs(t, <-ended, errTimeout, "a read under way is interrupted")
 		_, err := r.Read(make([]byte, 8))
