fix: a request sent through another instance gets no 404 from an earlier configuration

Callers got 404 for a route that was in force: their instance was cut off from the servers and sent the request through one that knew only an earlier configuration.

Cause: that one looked for the route before it compared the version of the hop, and its "no route" was passed on.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -170,7 +170,7 @@
 		w = &reroutedWriter{w}
 	}
 	r.awaitReady(incoming.Context(), headers)
-	call, err := r.admit(incoming, headers, started)
+	call, err := r.admit(incoming, headers, hop, started)
 	if err == nil && hop != nil {
 		err = r.admitRerouted(call, hop, started)
 	}
@@ -230,8 +230,8 @@
 }
 
 // admit finds the route of a request and returns the call to forward, or the reason why
-// the request is refused.
-func (r *Relayer) admit(incoming *http.Request, headers CallerHeaders, now time.Time) (*forwarder.Call, error) {
+// the request is refused. hop is set for the request of another instance.
+func (r *Relayer) admit(incoming *http.Request, headers CallerHeaders, hop *rerouter.Hop, now time.Time) (*forwarder.Call, error) {
 	table := r.config.Table()
 	if table == nil {
 		return nil, temporaryRefusal(pollencrank.ReasonNotReady, now, "no configuration yet")
@@ -239,6 +239,9 @@
 	if r.isClosed.Load() {
 		return nil, temporaryRefusal(pollencrank.ReasonStopping, now, "the instance stops")
 	}
+	if hop != nil && table.Version < hop.Version {
+		return nil, temporaryRefusal(pollencrank.ReasonNotReady, now, "version %d is not in force here yet", hop.Version)
+	}
 	route := table.Match(incoming.Host, incoming.URL.Path)
 	if route == nil {
 		return nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
--- a/relayer/rerouted.go
+++ b/relayer/rerouted.go
@@ -35,13 +35,10 @@
 	r.serve(w, incoming, &hop)
 }
 
-// admitRerouted refuses a request of another instance if that one knows a later
-// configuration, or if too many of them are served already.
+// admitRerouted refuses a request of another instance if too many of them are served
+// already.
 func (r *Relayer) admitRerouted(call *forwarder.Call, hop *rerouter.Hop, now time.Time) error {
 	call.Hop = hop
-	if call.Table.Version < hop.Version {
-		return temporaryRefusal(pollencrank.ReasonNotReady, now, "version %d is not in force here yet", hop.Version)
-	}
 	parts := reroutedParts - min(call.Route.Priority, reroutedParts-1)
 	if r.rerouted.Load() > int64(maxRerouted*parts/reroutedParts) {
 		return temporaryRefusal(pollencrank.ReasonReroutedFull, now, "too many requests of other instances")
--- a/relayer/rerouted_test.go
+++ b/relayer/rerouted_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// Guards against a caller that gets 404 for a route that is there: an instance with an earlier
+// configuration must say that, not that it knows no route.
+func TestAReroutedRequestOfALaterConfigurationIsNotLookedUp(t *testing.T) {
+	r, _ := start(t, newTable(), func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
+		t.Error("the request must not run")
+		return nil, nil
+	})
+	for _, path := range []string{"/x/1", "/new/1"} {
+		w := serveRerouted(r, rerouted(t, path, "8"))
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.Equal(t, string(pollencrank.ReasonNotReady), w.Header().Get("Pollencrank-Reason"))
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+	}
+}
+
 // Guards against instances that drown in the requests of others: less urgent requests leave
 // room to more urgent ones.
 func TestRequestsOfOtherInstancesAreLimitedByRank(t *testing.T) {
--- a/rerouter/rerouter_test.go
+++ b/rerouter/rerouter_test.go
@@ -144,6 +144,7 @@
 		"the near one is cut off":            {near: serve, cutOff: true, asked: []string{"far"}},
 		"the near one turns out to be":       {near: refuse(pollencrank.ReasonCutOff, true), asked: []string{"near", "far"}},
 		"the near one stops":                 {near: refuse(pollencrank.ReasonStopping, true), asked: []string{"near", "far"}},
+		"the near one knows no such route":   {near: refuse(pollencrank.ReasonNoRoute, true), asked: []string{"near", "far"}},
 		"its servers are full":               {near: refuse(pollencrank.ReasonQueueFull, true), asked: []string{"near"}, reason: pollencrank.ReasonQueueFull, isSafe: true},
 		"it reaches no server for a request": {near: refuse(pollencrank.ReasonServerUnreachable, true), asked: []string{"near"}, reason: pollencrank.ReasonNoServer, isSafe: true},
 		"the request may have run":           {near: refuse(pollencrank.ReasonServerFailed, false), asked: []string{"near"}, reason: pollencrank.ReasonServerFailed},
@@ -165,6 +166,17 @@
 	}
 }
 
+// Guards against a caller that gets 404 for a route that is there: the other instance had an
+// earlier configuration than the one that sent the request on.
+func TestARouteThatAnotherInstanceDoesNotKnowIsNotMissing(t *testing.T) {
+	p := &peers{}
+	p.add(t, "only", "north", refuse(pollencrank.ReasonNoRoute, true))
+	_, err := send(t, p.newRerouter(t), anyRegion, "order")
+	var notRun *pollencrank.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, pollencrank.ReasonNotReady, notRun.Reason)
+}
+
 func TestWithoutAnotherInstanceARequestIsRefusedAtOnce(t *testing.T) {
 	p := &peers{}
 	_, err := send(t, p.newRerouter(t), anyRegion, "")
