--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -46,7 +46,13 @@
 		Table: func() *router.Table { return table }, Forwarder: forward, Dialect: dialect{},
 		Stager: stager.New(stager.Config{PerBody: bufferedBytes, Total: totalBytes}), Log: slog.New(slog.DiscardHandler),
 	})
-	server := pipeliner.New(pipeliner.Config{Handler: r, MayOverlap: r.MayOverlap})
+	return serveCallers(t, r)
+}
+
+// serveCallers starts a pipeliner in front of a Relayer, and returns its address.
+func serveCallers(t *testing.T, r *relayer.Relayer) string {
+	t.Helper()
+	server := pipeliner.New(pipeliner.Config{Handler: r, MayOverlap: r.MayOverlap, RunsAlone: r.RunsAlone})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = server.Serve(listener) }()
--- a/relayer/pipeline_test.go
+++ b/relayer/pipeline_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,7 +15,6 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/forwarder"
-	"github.com/pollencrank/pollencrank/pipeliner"
 	"github.com/pollencrank/pollencrank/relayer"
 	"github.com/pollencrank/pollencrank/router"
 )
@@ -45,15 +43,9 @@
 	r := relayer.New(relayer.Config{
 		Table: func() *router.Table { return table }, Forwarder: forwardFunc(forward), Dialect: dialect{}, Log: slog.New(slog.DiscardHandler),
 	})
-	server := pipeliner.New(pipeliner.Config{Handler: r, MayOverlap: r.MayOverlap, RunsAlone: r.RunsAlone})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-
-	conn, reader := connect(t, listener.Addr().String())
+	conn, reader := connect(t, serveCallers(t, r))
 	request := func(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path) }
-	_, err = io.WriteString(conn, request("/long/first"))
+	_, err := io.WriteString(conn, request("/long/first"))
 	require.NoError(t, err)
 	_, body := readAnswer(t, reader)
 	require.Equal(t, "whole", body)
