chore: routes are matched for long answers only once there was one; the line of rerouted requests has a test

A second match of the route stood on the path of each request. PC1908 names both ways now. Taken out, the line fails TestARequestThatMeetsNoConnectionGoesThroughAnotherInstance.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -74,9 +74,29 @@
 	callerTimeout time.Duration
 	// serversCrash says that a server whose connection is lost is reported as down.
 	serversCrash atomic.Bool
+	log          logBuffer
 	broadcasts   chan isolator.Record
 }
 
+// logBuffer holds what was logged.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 const service = "parts"
 
 // newSystem returns the only instance of a fleet, which has run for a while.
@@ -118,7 +138,7 @@
 			Broadcast: func(r isolator.Record) { s.broadcasts <- r },
 		},
 		Suspended: func() time.Duration { return time.Duration(s.suspended.Add(int64(s.suspensionPerCall))) },
-		Log:       slog.New(slog.DiscardHandler),
+		Log:       slog.New(slog.NewTextHandler(&s.log, nil)),
 	})
 	s.route = router.Route{
 		Name: "r", Kind: router.Idempotent, MaxAttempts: 2, HasAffinity: true, LatencyObjective: 300 * time.Millisecond,
--- a/forwarder/reroute_test.go
+++ b/forwarder/reroute_test.go
@@ -74,6 +74,7 @@
 		hop := p.requests[0].Hop
 		require.Equal(t, 2, hop.MaxAttempts, "no server has seen the request")
 		require.True(t, hop.IsCounted)
+		require.Contains(t, s.log.String(), "through another instance", "each decision on the request is logged")
 	}
 }
 
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -127,7 +127,7 @@
 		{EventInstanceUnreachable, slog.LevelWarn, "An instance does not answer this one any more; look-ups do not name it."},
 		{EventSettingsReloaded, slog.LevelInfo, "Changed settings are in force."},
 		{EventSettingsInvalid, slog.LevelError, "Changed settings are faulty; the previous ones stay."},
-		{EventRequestRetried, slog.LevelInfo, "An attempt failed and the request goes to another backend server."},
+		{EventRequestRetried, slog.LevelInfo, "An attempt failed and the request goes to another backend server, or through another instance."},
 		{EventRequestFinished, slog.LevelDebug, "A request was answered; a sample of all of them."},
 		{EventLinesDropped, slog.LevelWarn, "Log lines were dropped because too many were written; count says how many."},
 		{EventRegistrationFailed, slog.LevelWarn, "The instance's own entry in the store could not be written; it is tried again."},
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -145,7 +145,7 @@
 // request, because its route has lately had answers that are not held as a whole.
 func (r *Relayer) RunsAlone(incoming *http.Request) bool {
 	table := r.config.Table()
-	if table == nil {
+	if table == nil || !r.streamedRoutes.wasUsed.Load() {
 		return false
 	}
 	route := table.Match(incoming.Host, incoming.URL.Path)
