feat: the model of tenants: keys as digests, priority, home regions, quota

Cause: a configuration may hold tenants, whose callers identify themselves by keys; the model knew none. Change: router.Tenant and its indices; a call carries its tenant, whose priority goes before the route's and whose home regions bind beside the route's; reasons for an unknown key, a spent quota and an invalid answer. Nothing sets a tenant yet.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	maxExpected := call.Request.Deadline.Sub(now)
-	if call.Route.Priority > 0 && call.Route.LatencyObjective > 0 {
+	if call.Priority() > 0 && call.Route.LatencyObjective > 0 {
 		maxExpected = min(maxExpected, time.Duration(float64(call.Route.LatencyObjective)*maxLatencyFactor))
 	}
 	if choice.Expected <= maxExpected {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -118,6 +118,9 @@
 	Request *pollencrank.Request
 	Table   *router.Table
 	Route   *router.Route
+	// Tenant is the tenant whose caller has sent the request. It is nil if the route or the
+	// configuration asks for none.
+	Tenant *router.Tenant
 	// ObjectKey names the object that the request is about, if any.
 	ObjectKey string
 	// Body is the complete body of the request. If it is nil, the body is streamed
@@ -347,7 +350,7 @@
 	if backend.RecordSuccess(float64(serviceTime)/float64(usual), answer.ConnectedAt, now) {
 		backend.MarkCold(now.Add(call.service.Warmup))
 	}
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d",service=%q}`, call.Route.Priority, call.service.Name)).Update(took.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_server_seconds{priority="%d",service=%q}`, call.Priority(), call.service.Name)).Update(took.Seconds())
 }
 
 // observeFailure records a failed attempt for its server, by the kind of failure.
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -41,9 +41,9 @@
 	if !isLimited {
 		return now
 	}
-	nextAt := f.config.Limits.NextAt(limit, call.Route.Priority, call.failedLoans < maxLoans, now)
+	nextAt := f.config.Limits.NextAt(limit, call.Priority(), call.failedLoans < maxLoans, now)
 	if isPreferred && nextAt.After(now) {
-		f.config.Limits.RecordUnmet(limit, call.Route.Priority, now)
+		f.config.Limits.RecordUnmet(limit, call.Priority(), now)
 	}
 	return nextAt
 }
@@ -54,7 +54,7 @@
 	if !isLimited {
 		return true
 	}
-	if !f.config.Limits.Take(ctx, limit, call.Route.Priority) {
+	if !f.config.Limits.Take(ctx, limit, call.Priority()) {
 		limitedHeldBack.Inc()
 		call.failedLoans++
 		return false
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -22,8 +22,9 @@
 // placementID identifies a placement.
 type placementID struct {
 	service string
-	// homes is the text of the regions that may serve; empty means all regions.
-	homes string
+	// homes and tenantHomes are the texts of the regions that may serve by the route and by
+	// the tenant; empty means all regions.
+	homes, tenantHomes string
 }
 
 // placements caches a placement for each service and set of home regions in use. It
@@ -35,7 +36,7 @@
 
 // of returns the placement for a call and rebuilds it if the servers have changed.
 func (p *placements) of(call *Call) *placement {
-	id := placementID{service: call.service.Name, homes: call.Route.HomeRegionsKey()}
+	id := placementID{service: call.service.Name, homes: call.Route.HomeRegionsKey(), tenantHomes: call.Tenant.HomeRegionsKey()}
 	stored, ok := p.byID.Load(id)
 	if !ok {
 		stored, _ = p.byID.LoadOrStore(id, &atomic.Pointer[placement]{})
@@ -57,7 +58,7 @@
 	next := &placement{version: version}
 	for _, b := range p.config.Registrar.Backends(call.service.Name) {
 		s := b.Server()
-		if !call.Route.AllowsRegion(s.Region) {
+		if !call.allowsRegion(s.Region) {
 			continue
 		}
 		next.backends = append(next.backends, b)
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -178,7 +178,7 @@
 	request := rerouter.Request{
 		Request:   call.Request,
 		Service:   call.service.Name,
-		IsAllowed: call.Route.AllowsRegion,
+		IsAllowed: call.allowsRegion,
 		Hop:       rerouter.Hop{MaxAttempts: call.maxAttempts() - call.sent, IsCounted: call.isCounted, Version: call.Table.Version},
 	}
 	if call.hasWholeBody() {
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,9 @@
 	ReasonBodyTimeout         Reason = "bodyTimeout"
 	ReasonBodyBroken          Reason = "bodyBrokeOff"
 	ReasonBodiesFull          Reason = "noRoomForBodies"
+	ReasonUnknownKey          Reason = "unknownKey"
+	ReasonQuotaSpent          Reason = "quotaSpent"
+	ReasonAnswerInvalid       Reason = "invalidAnswer"
 )
 
 // NotRunError reports that a request did not run on any backend server and will
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -373,7 +373,7 @@
 // answers; those that callers take for a failure or a refusal are always logged.
 func (r *Relayer) recordAnswer(call *forwarder.Call, answer *pollencrank.Answer, started time.Time) {
 	took := time.Since(started)
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_answer_seconds{priority="%d"}`, call.Route.Priority)).Update(took.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`pollencrank_answer_seconds{priority="%d"}`, call.Priority())).Update(took.Seconds())
 	isServed := answer.Status < 500 && !pollencrank.PromisesNotRun(answer.Status)
 	if isServed && r.answered.Add(1)%uint64(r.config.SampleEvery) != 0 {
 		return
--- a/relayer/rerouted.go
+++ b/relayer/rerouted.go
@@ -39,7 +39,7 @@
 // already.
 func (r *Relayer) admitRerouted(call *forwarder.Call, hop *rerouter.Hop, now time.Time) error {
 	call.Hop = hop
-	parts := reroutedParts - min(call.Route.Priority, reroutedParts-1)
+	parts := reroutedParts - min(call.Priority(), reroutedParts-1)
 	if r.rerouted.Load() > int64(maxRerouted*parts/reroutedParts) {
 		return temporaryRefusal(pollencrank.ReasonReroutedFull, now, "too many requests of other instances")
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -71,6 +71,8 @@
 	// HomeRegions are the only regions that may serve the requests. Empty
 	// means all.
 	HomeRegions []string
+	// IsAuthExempt says that requests need no API key.
+	IsAuthExempt bool
 	// Fault says why no request of the route can be served: a setting of the route that
 	// determines where or how often requests run could not be parsed.
 	Fault string
@@ -122,12 +124,18 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants are the tenants whose callers may send requests. If there are none, requests
+	// need no API key.
+	Tenants []Tenant
 }
 
-// Table is an index of the routes of one configuration.
+// Table is an index of the routes and tenants of one configuration.
 type Table struct {
 	Configuration
-	hosts map[string]*host
+	hosts         map[string]*host
+	tenantsByName map[string]*Tenant
+	// tenantsByKey holds nil for a key of two tenants.
+	tenantsByKey map[KeyDigest]*Tenant
 }
 
 // host is an index of the routes of one host.
@@ -157,6 +165,8 @@
 	for _, h := range t.hosts {
 		h.collectPrefixLengths()
 	}
+	t.Tenants = slices.Clone(configuration.Tenants)
+	t.indexTenants()
 	return t
 }
 
