fix: a server that returns unheard of gets no request of each instance

Every instance that had found it unreachable tried it with a request of its own: 41 of 14 allowed in one second from 61 instances, 554 from 650. Cause: one request an instance is bounded for each instance, not for the fleet. Change: a server that was unreachable counts as cold until it has answered, so only the two senders of cold servers send it requests. The others probe its health path, one probe at a time with the suspension's backoff; an answer makes it cold for the whole warm-up, as an answered request did. A call that is held back for this may go through another instance. The test counted arrivals after the warm-up, too: with the mend 61 instances showed 0 to 2 arrivals in each 200 ms while the server was cold and 4, 6, 10, 17, 14 from 3.0 s on, when it is warm, which the rule allows. It now counts while the server is cold, the whole 3 s by the configuration; the bound and the loads are as before.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -36,7 +36,7 @@
 			return decision{}, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
 		}
 		backend := candidates.backends[choice.Index]
-		if backend.IsCold(now) && !f.config.Warmer.Take(backend.ID(), call.service.ColdRate, now) {
+		if f.holdsBack(call, backend, now) {
 			skipped = append(skipped, backend)
 			continue
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,6 +68,8 @@
 	Registrar *registrar.Registrar
 	Sender    Sender
 	Warmer    *warmer.Warmer
+	// Probe returns an error unless a server answers a health probe, whatever it says.
+	Probe func(ctx context.Context, server registrar.Server) error
 	// Limits divides the rate limits of servers among the instances.
 	Limits    *apportioner.Apportioner
 	Splitter  *router.Splitter
@@ -91,8 +93,8 @@
 	// answerStager buffers answers until they are known to be complete.
 	answerStager *stager.Stager
 	suspectRuns  suspectRuns
-	// crashChecks counts the checks for crashes that run in the background.
-	crashChecks sync.WaitGroup
+	// checks counts the checks of servers that run in the background.
+	checks sync.WaitGroup
 }
 
 // New returns a Forwarder.
--- a/forwarder/return_test.go
+++ b/forwarder/return_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -24,8 +25,12 @@
 	}
 }
 
+// returnWarmup is how long the server is cold after its return, by the service's
+// configuration.
+const returnWarmup = 3 * time.Second
+
 // requireNoFlood checks what all instances together send in any second to a server that is
-// unreachable and returns cold.
+// unreachable and returns cold, as long as it is cold.
 func requireNoFlood(t *testing.T, instances int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -43,11 +48,19 @@
 					return nil, pollencrank.NotRun(pollencrank.ReasonServerUnreachable, "refused")
 				}
 				mu.Lock()
-				arrivals = append(arrivals, time.Now())
+				if time.Now().Before(returnsAt.Add(returnWarmup)) {
+					arrivals = append(arrivals, time.Now())
+				}
 				mu.Unlock()
 				time.Sleep(500 * time.Millisecond)
 				return soundAnswer(server, request), nil
 			}
+			one.sender.probe = func(string) error {
+				if time.Now().Before(returnsAt) {
+					return errors.New("refused")
+				}
+				return nil
+			}
 			fleet, memberships = append(fleet, one), append(memberships, m)
 		}
 		defer confirmPeriodically(memberships)()
@@ -75,3 +88,54 @@
 		require.LessOrEqual(t, most, 6*3/2+5)
 	})
 }
+
+// The instances that may send nothing to a server that returns learn by a probe that it is
+// back, and use it once it is warm.
+func TestAServerThatReturnsIsUsedByAllInstancesOnceItIsWarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 12
+		isDown := true
+		var mu sync.Mutex
+		refuse := func() error {
+			mu.Lock()
+			defer mu.Unlock()
+			if isDown {
+				return pollencrank.NotRun(pollencrank.ReasonServerUnreachable, "refused")
+			}
+			return nil
+		}
+		var fleet []*system
+		var memberships []*apportioner.Membership
+		for i := range instances {
+			m := newMembership(i, instances, time.Now().Add(-time.Minute), time.Now())
+			one := newInstance(t, m, fleetRetries, nil)
+			one.setServers(server("n-1", "north"))
+			one.sender.probe = func(string) error { return refuse() }
+			one.sender.reply = func(server string, _ int, request *pollencrank.Request) (*pollencrank.Answer, error) {
+				if err := refuse(); err != nil {
+					return nil, err
+				}
+				return soundAnswer(server, request), nil
+			}
+			fleet, memberships = append(fleet, one), append(memberships, m)
+		}
+		defer confirmPeriodically(memberships)()
+		time.Sleep(3 * time.Second)
+		ask := func() (served int) {
+			for _, one := range fleet {
+				if _, err := one.forwardRequest(t.Context(), "17"); err == nil {
+					served++
+				}
+			}
+			return served
+		}
+		require.Zero(t, ask())
+		mu.Lock()
+		isDown = false
+		mu.Unlock()
+		time.Sleep(time.Second)
+		ask()
+		time.Sleep(returnWarmup)
+		require.Equal(t, instances, ask())
+	})
+}
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -107,7 +107,7 @@
 		BeganAt:       beganAt,
 		At:            endedAt,
 	}
-	f.crashChecks.Go(func() {
+	f.checks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		if !f.config.Suspects.IsDown(ctx, server.Address) || f.config.Rerouter.IsDoubtful(server.Service) {
@@ -126,9 +126,9 @@
 	})
 }
 
-// Wait returns when the checks for crashes that run in the background have ended. No
+// Wait returns when the checks of servers that run in the background have ended. No
 // request may be forwarded meanwhile.
-func (f *Forwarder) Wait() { f.crashChecks.Wait() }
+func (f *Forwarder) Wait() { f.checks.Wait() }
 
 // crashCheckTimeout bounds the probe that checks whether a server is down.
 const crashCheckTimeout = 800 * time.Millisecond
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -236,6 +236,7 @@
 		Registrar: h.registrar,
 		Sender:    h.sender,
 		Warmer:    h.warmer,
+		Probe:     h.probe,
 		Limits:    h.apportioner,
 		Splitter:  h.splitter,
 		Budgets:   h.budgets,
--- a/hoster/reroute.go
+++ b/hoster/reroute.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/rerouter"
 )
 
@@ -60,7 +61,6 @@
 
 // probedServers returns the servers of a service by which its links can be checked.
 func (h *Hoster) probedServers(service string) []rerouter.Server {
-	path := h.healthPath(service)
 	now := time.Now()
 	var servers []rerouter.Server
 	for _, b := range h.registrar.Backends(service) {
@@ -68,18 +68,22 @@
 			continue
 		}
 		server := b.Server()
-		target := dispatcher.Target{
-			Name: server.ID, Address: server.Address, HealthPath: path,
-			MaxConnections: h.budgets.ConnectionLimit(h.maxConnections(service), now),
-		}
 		servers = append(servers, rerouter.Server{ID: server.ID, Probe: func(ctx context.Context) error {
-			_, err := h.sender.Probe(ctx, target)
-			return err
+			return h.probe(ctx, server)
 		}})
 	}
 	return servers
 }
 
+// probe returns an error unless a server answers a health probe, whatever it says.
+func (h *Hoster) probe(ctx context.Context, server registrar.Server) error {
+	_, err := h.sender.Probe(ctx, dispatcher.Target{
+		Name: server.ID, Address: server.Address, HealthPath: h.healthPath(server.Service),
+		MaxConnections: h.budgets.ConnectionLimit(h.maxConnections(server.Service), time.Now()),
+	})
+	return err
+}
+
 func (h *Hoster) healthPath(service string) string {
 	if table := h.table.Load(); table != nil {
 		return table.Services[service].HealthPath
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -71,7 +71,9 @@
 	// suspendedUntil when it is tried again.
 	unreachableAt  time.Time
 	suspendedUntil time.Time
-	isMisdirected  bool
+	// isProbed says that a probe is under way that shows whether the server is back.
+	isProbed      bool
+	isMisdirected bool
 	// pausedUntil is when a server that wants no requests for a while takes them again.
 	pausedUntil time.Time
 	// quarantinedUntil is when a server that the store lists again after it had left may
@@ -357,6 +359,33 @@
 	return b.suspension > 0
 }
 
+// BeginReturnProbe reports whether a probe may show now whether a suspended server is back,
+// and records that it begins. EndReturnProbe has to be called after it.
+func (b *Backend) BeginReturnProbe() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.suspension == 0 || b.isProbed {
+		return false
+	}
+	b.isProbed = true
+	return true
+}
+
+// EndReturnProbe records whether the server has answered the probe. One that has gets
+// requests again; it may have started again, and be cold.
+func (b *Backend) EndReturnProbe(hasAnswered bool, now time.Time) {
+	b.mu.Lock()
+	b.isProbed = false
+	if hasAnswered {
+		b.suspension = 0
+		b.suspendedUntil = time.Time{}
+	}
+	b.mu.Unlock()
+	if !hasAnswered {
+		b.MarkUnreachable(now)
+	}
+}
+
 // Forgive forgets what was observed of the server while this instance had lost its links to
 // servers: it says nothing about the server.
 func (b *Backend) Forgive() {
