--- a/cmd/pollencrank/soak.go
+++ b/cmd/pollencrank/soak.go
@@ -15,6 +15,7 @@
 // soakCommand runs instances as processes and injects faults.
 type soakCommand struct {
 	Program   string        `help:"Path of pollencrankd." default:"target/pollencrankd"`
+	Older     string        `help:"Path of pollencrankd of an older build, from which the fleet is upgraded and rolled back, one instance at a time." default:""`
 	Seeds     string        `help:"Seeds to run, as numbers and ranges: 1,5,10-20." default:"1-3"`
 	SeedFile  string        `help:"File with a seed at the start of each line, run before the others."`
 	For       time.Duration `help:"How long faults are injected in each run." default:"15s"`
@@ -67,7 +68,7 @@
 		}
 	}
 	result, err := soaker.Run(ctx, soaker.Config{
-		Program: c.Program, Seed: seed, Duration: c.For, Instances: c.Instances, Servers: c.Servers, Callers: c.Callers,
+		Program: c.Program, Older: c.Older, Seed: seed, Duration: c.For, Instances: c.Instances, Servers: c.Servers, Callers: c.Callers,
 		Folder: folder, Only: c.Only, Log: log,
 	})
 	if err == nil && len(result.Violations) > 0 && c.Keep != "" {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -65,6 +65,13 @@
 	return nil
 }
 
+// setProgram sets the program of the next starts.
+func (p *process) setProgram(program string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.program = program
+}
+
 // signal sends a signal to the current process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -16,6 +16,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -54,7 +55,10 @@
 type Config struct {
 	// Program is the path of pollencrankd.
 	Program string
-	Seed    uint64
+	// Older, if set, is the path of pollencrankd of an older build. The fleet starts with it
+	// and is upgraded and rolled back, one instance at a time, while faults are injected.
+	Older string
+	Seed  uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Instances, Servers and Callers are the numbers of each. Zero selects a small
@@ -184,7 +188,7 @@
 		id:      fmt.Sprintf("entry-%d", number+1),
 		ip:      s.ip(instanceKind, number),
 		domain:  s.domains[number%len(s.domains)],
-		program: s.config.Program,
+		program: cmp.Or(s.config.Older, s.config.Program),
 		store:   link,
 	}
 	p.logPath = logPath(s.config.Folder, p.id)
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -77,14 +77,15 @@
 	kinds := s.faultKinds()
 	end := time.Now().Add(s.config.Duration)
 	var running sync.WaitGroup
+	if s.config.Older != "" {
+		running.Go(func() { s.rollBuilds(ctx, end) })
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		sleep(ctx, time.Duration(s.random.Int64N(int64(2*meanFaultPause))))
 		kind := kinds[s.random.IntN(len(kinds))]
 		span := minFaultSpan + time.Duration(s.random.Int64N(int64(maxFaultSpan-minFaultSpan)))
 		choice := s.random.Uint64()
-		s.mu.Lock()
-		s.faultCounts[kind.name]++
-		s.mu.Unlock()
+		s.countFault(kind.name)
 		s.config.Log("%s for %s", kind.name, span.Round(time.Millisecond))
 		running.Go(func() { kind.inject(ctx, span, choice) })
 	}
@@ -198,16 +199,23 @@
 		return
 	}
 	defer s.releaseInstance(p)
+	s.stopAsPlanned(p)
+	s.restart(ctx, p, span)
+}
+
+// stopAsPlanned stops an instance with SIGTERM and waits for its end.
+func (s *soak) stopAsPlanned(p *process) {
 	p.markStopStart()
 	p.signal(syscall.SIGTERM)
 	if !p.awaitExit(exitTimeout) {
 		s.ledger.reportViolation("a planned stop ends in time", "%s still runs %s after SIGTERM", p.id, exitTimeout)
 		p.signal(syscall.SIGKILL)
 		p.awaitExit(exitTimeout)
-	} else if status := p.exitStatus(); status != 0 {
+		return
+	}
+	if status := p.exitStatus(); status != 0 {
 		s.ledger.reportViolation("a planned stop ends without a failure", "%s ended with status %d", p.id, status)
 	}
-	s.restart(ctx, p, span)
 }
 
 func (s *soak) restart(ctx context.Context, p *process, delay time.Duration) {
