feat: requests carry the key of a tenant, and servers are told the tenant's name

Cause: configurations with tenants were served as if they had none: keys were passed on to servers, and nobody was refused.

--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -179,7 +179,7 @@
 		Request:   call.Request,
 		Service:   call.service.Name,
 		IsAllowed: call.allowsRegion,
-		Hop:       rerouter.Hop{MaxAttempts: call.maxAttempts() - call.sent, IsCounted: call.isCounted, Version: call.Table.Version},
+		Hop:       call.hop(),
 	}
 	if call.hasWholeBody() {
 		request.NewBody = call.newRequest
--- a/forwarder/tenant.go
+++ b/forwarder/tenant.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "github.com/pollencrank/pollencrank/rerouter"
+
 // Priority is the rank of the call; 0 is the most urgent. That of the tenant goes before
 // that of the route.
 func (c *Call) Priority() int {
@@ -14,3 +16,12 @@
 func (c *Call) allowsRegion(region string) bool {
 	return c.Route.AllowsRegion(region) && c.Tenant.AllowsRegion(region)
 }
+
+// hop tells another instance what has been done with the call.
+func (c *Call) hop() rerouter.Hop {
+	hop := rerouter.Hop{MaxAttempts: c.maxAttempts() - c.sent, IsCounted: c.isCounted, Version: c.Table.Version}
+	if c.Tenant != nil {
+		hop.Tenant, hop.HasTenantHomes = c.Tenant.Name, len(c.Tenant.HomeRegions) > 0
+	}
+	return hop
+}
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -198,7 +198,8 @@
 		c.h.splitter.Prune(table)
 		c.h.markConfigured()
 		c.h.config.Log.Info("a configuration is in force", recorder.EventConfigurationInForce.Attr(),
-			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)))
+			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)), slog.Int("tenants", len(table.Tenants)))
+		c.h.logUnknownHomes(table)
 	}
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -53,6 +53,7 @@
 	ReasonBodyBroken          Reason = "bodyBrokeOff"
 	ReasonBodiesFull          Reason = "noRoomForBodies"
 	ReasonUnknownKey          Reason = "unknownKey"
+	ReasonTenantUnreadable    Reason = "tenantUnreadable"
 	ReasonQuotaSpent          Reason = "quotaSpent"
 	ReasonAnswerInvalid       Reason = "invalidAnswer"
 )
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -59,6 +59,9 @@
 	// Timeout is how long the caller waits for the answer. Zero means that the caller
 	// states no timeout.
 	Timeout time.Duration
+	// Key is the caller's API key. It is empty if there is none, or more than one. It must
+	// not be logged.
+	Key string
 }
 
 // Dialect defines which headers the callers of a deployment use.
@@ -68,6 +71,9 @@
 	// SetRequestID adds the ID of the request to the headers of an answer that the
 	// system itself writes.
 	SetRequestID(header http.Header, requestID string)
+	// SetTenant removes the API key and what the caller says of its tenant from the headers
+	// of a request, and sets the name of the tenant unless that is empty.
+	SetTenant(header http.Header, name string)
 	// SetRetryAfter sets the time after which the caller may retry.
 	SetRetryAfter(header http.Header, pause time.Duration)
 }
@@ -178,6 +184,7 @@
 		r.writeError(w, call, headers, err, started)
 		return
 	}
+	// The quota of call.Tenant is asked for here: the request is admitted, and no server has it.
 	body, err := r.stageBody(w, incoming, call)
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
@@ -246,6 +253,10 @@
 	if route == nil {
 		return nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
 	}
+	tenant, err := identify(table, route, headers.Key, hop, now)
+	if err != nil {
+		return nil, err
+	}
 	if route.Fault != "" {
 		err := pollencrank.NotRun(pollencrank.ReasonRouteUnreadable, "route %s: %s", route.Name, route.Fault)
 		err.RetryAt = now.Add(routeFaultRetryDelay)
@@ -261,9 +272,14 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	header := pollencrank.EndToEnd(incoming.Header)
+	if table.HasTenants() {
+		r.config.Dialect.SetTenant(header, nameOf(tenant))
+	}
 	call := &forwarder.Call{
 		Table:     table,
 		Route:     route,
+		Tenant:    tenant,
 		ObjectKey: headers.ObjectKey,
 		Request: &pollencrank.Request{
 			ID:            headers.RequestID,
@@ -273,7 +289,7 @@
 			Method:        incoming.Method,
 			Host:          incoming.Host,
 			URI:           incoming.RequestURI,
-			Header:        pollencrank.EndToEnd(incoming.Header),
+			Header:        header,
 			ContentLength: incoming.ContentLength,
 		},
 	}
@@ -334,6 +350,9 @@
 	}
 	if call != nil {
 		attributes = append(attributes, slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version))
+		if call.Tenant != nil {
+			attributes = append(attributes, slog.String("tenant", call.Tenant.Name))
+		}
 	}
 	r.config.Log.Info("the request was not answered by a server", attributes...)
 }
@@ -359,6 +378,8 @@
 	switch reason {
 	case pollencrank.ReasonNoRoute:
 		return http.StatusNotFound
+	case pollencrank.ReasonUnknownKey:
+		return http.StatusUnauthorized
 	case pollencrank.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case pollencrank.ReasonMalformed, pollencrank.ReasonBodyBroken:
@@ -384,5 +405,8 @@
 		slog.String("server", answer.Server), slog.Int("status", answer.Status), slog.String("took", took.Round(time.Microsecond).String()),
 		slog.String("objective", call.Route.LatencyObjective.String()),
 	}
+	if call.Tenant != nil {
+		attributes = append(attributes, slog.String("tenant", call.Tenant.Name))
+	}
 	r.config.Log.Info("the request was answered", append(attributes, call.Course.Attributes(started)...)...)
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -28,7 +28,19 @@
 
 func (dialect) ReadCaller(header http.Header) relayer.CallerHeaders {
 	timeout, _ := time.ParseDuration(header.Get("Test-Patience"))
-	return relayer.CallerHeaders{RequestID: header.Get("Test-Id"), ObjectKey: header.Get("Test-Object"), Timeout: timeout}
+	headers := relayer.CallerHeaders{RequestID: header.Get("Test-Id"), ObjectKey: header.Get("Test-Object"), Timeout: timeout}
+	if keys := header.Values("Test-Key"); len(keys) == 1 {
+		headers.Key = keys[0]
+	}
+	return headers
+}
+
+func (dialect) SetTenant(header http.Header, name string) {
+	header.Del("Test-Key")
+	header.Del("Test-Tenant")
+	if name != "" {
+		header.Set("Test-Tenant", name)
+	}
 }
 
 func (dialect) SetRequestID(header http.Header, requestID string) { header.Set("Test-Id", requestID) }
--- a/replicator/codec.go
+++ b/replicator/codec.go
@@ -130,6 +130,7 @@
 	for i := range c.Routes {
 		m.Routes = append(m.Routes, encodeRoute(&c.Routes[i]))
 	}
+	m.TenantState, m.Tenants = encodeTenants(update)
 	return m
 }
 
@@ -152,6 +153,7 @@
 	m := &newspb.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: kindToMessage[r.Kind], Priority: int32(r.Priority),
 		MaxAttempts: int32(r.MaxAttempts), HasAffinity: r.HasAffinity, HomeRegions: r.HomeRegions, Fault: r.Fault,
+		IsAuthExempt: r.IsAuthExempt,
 	}
 	if r.Timeout > 0 {
 		m.Timeout = durationpb.New(r.Timeout)
@@ -297,7 +299,7 @@
 		}
 		c.Routes = append(c.Routes, route)
 	}
-	return update, nil
+	return update, decodeTenants(m, update)
 }
 
 func decodeRoute(r *newspb.Route) (router.Route, error) {
@@ -305,6 +307,7 @@
 		Name: r.GetName(), Host: r.GetHost(), PathPrefix: r.GetPathPrefix(), Kind: kindFromMessage[r.GetKind()],
 		Timeout: clamp(r.GetTimeout()), LatencyObjective: clamp(r.GetLatencyObjective()), Priority: int(r.GetPriority()),
 		MaxAttempts: max(int(r.GetMaxAttempts()), 1), HasAffinity: r.GetHasAffinity(), HomeRegions: r.GetHomeRegions(), Fault: r.GetFault(),
+		IsAuthExempt: r.GetIsAuthExempt(),
 	}
 	if route.PathPrefix == "" {
 		return router.Route{}, fmt.Errorf("%w: route %q", errMalformed, route.Name)
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -88,6 +88,11 @@
 	// RemovedRoutes are the names of the routes that the base version has and
 	// Configuration has not.
 	RemovedRoutes []string
+	// HasBaseTenants says that the tenants are those of the base version. Otherwise
+	// Configuration has all of them.
+	HasBaseTenants bool
+	// LacksTenants says that the sender knows no tenants. The configuration may have some.
+	LacksTenants bool
 }
 
 // BaseVersionError reports a configuration change whose base version is not the
@@ -214,6 +219,7 @@
 		update.BaseVersion = baseVersion
 		update.Configuration.Routes = changed
 		update.RemovedRoutes = removed
+		update.shareTenants(base.Tenants)
 	}
 	return update
 }
@@ -243,6 +249,9 @@
 	if next.Version == 0 {
 		return s.Configurations.ApplyChange(change)
 	}
+	if update.LacksTenants && s.isAhead(update) {
+		return &TenantsMissingError{Version: next.Version}
+	}
 	if update.BaseVersion != 0 {
 		current, _ := s.Configurations.Value(configurationName)
 		if position, _ := s.Configurations.Position(); update.Position <= position {
@@ -252,6 +261,9 @@
 			return &BaseVersionError{Current: current.Version, Base: update.BaseVersion}
 		}
 		next.Routes = router.Merge(current.Routes, next.Routes, update.RemovedRoutes)
+		if update.HasBaseTenants {
+			next.Tenants = current.Tenants
+		}
 	}
 	// The configuration is the only item of its collection, so it replaces the
 	// whole collection whatever the position was before.
--- a/rerouter/hop.go
+++ b/rerouter/hop.go
@@ -1,8 +1,11 @@
 package rerouter
 
 import (
+	"errors"
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -18,7 +21,10 @@
 	headerCounted = "Pollencrank-Counted"
 	// headerRemaining is the time until the deadline of the request.
 	headerRemaining = "Pollencrank-Remaining"
-	// headerVersion is the version of the configuration under which it was admitted.
+	// headerVersion is the version of the configuration under which it was admitted. Its
+	// second value, if any, is the version and the name of the tenant, separated by a space:
+	// builds without tenants replace all values when they send a request on, so no caller can
+	// forge it through them, and read the first one only.
 	headerVersion = "Pollencrank-Version"
 	// headerOutcome says in an answer of the other instance itself whether the request has
 	// run, and headerReason why it was not answered.
@@ -26,6 +32,8 @@
 	headerReason  = "Pollencrank-Reason"
 )
 
+var errNoVersion = errors.New("the version is missing")
+
 const (
 	outcomeNotRun  = "notRun"
 	outcomeUnknown = "unknown"
@@ -39,6 +47,12 @@
 	IsCounted bool
 	// Version is the version of the configuration under which the request was admitted.
 	Version uint64
+	// Tenant is the name of the tenant whose key the request had. It is empty if there is
+	// none.
+	Tenant string
+	// HasTenantHomes says that the tenant has home regions. An instance that knows no tenants
+	// must not serve the request.
+	HasTenantHomes bool
 	// Remaining is the time until the deadline of the request. It is decoded only; the
 	// deadline is that of the request when it is sent.
 	Remaining time.Duration
@@ -47,13 +61,43 @@
 // encode adds the headers of a hop.
 func (h Hop) encode(header http.Header) {
 	header.Set(HeaderRerouted, strconv.Itoa(h.MaxAttempts))
-	header.Set(headerVersion, strconv.FormatUint(h.Version, 10))
+	h.encodeVersion(header)
 	header.Del(headerCounted)
 	if h.IsCounted {
 		header.Set(headerCounted, "true")
 	}
 }
 
+// encodeVersion adds the version and the tenant. An instance refuses a request whose version
+// it does not have yet: the largest one makes a build that knows no tenants refuse what it
+// might serve in a region other than the homes.
+func (h Hop) encodeVersion(header http.Header) {
+	version := strconv.FormatUint(h.Version, 10)
+	first := version
+	if h.HasTenantHomes {
+		first = strconv.FormatUint(math.MaxUint64, 10)
+	}
+	header.Set(headerVersion, first)
+	if h.Tenant != "" {
+		header.Add(headerVersion, version+" "+h.Tenant)
+	}
+}
+
+// decodeVersion sets the version and the tenant.
+func (h *Hop) decodeVersion(header http.Header) error {
+	values := header.Values(headerVersion)
+	if len(values) == 0 {
+		return errNoVersion
+	}
+	version := values[0]
+	if len(values) > 1 {
+		version, h.Tenant, _ = strings.Cut(values[1], " ")
+	}
+	var err error
+	h.Version, err = strconv.ParseUint(version, 10, 64)
+	return err
+}
+
 // DecodeHop returns what another instance says of a request, and removes its headers.
 func DecodeHop(header http.Header) (Hop, error) {
 	defer func() {
@@ -66,7 +110,7 @@
 	if hop.MaxAttempts, err = strconv.Atoi(header.Get(HeaderRerouted)); err != nil {
 		return Hop{}, err
 	}
-	if hop.Version, err = strconv.ParseUint(header.Get(headerVersion), 10, 64); err != nil {
+	if err = hop.decodeVersion(header); err != nil {
 		return Hop{}, err
 	}
 	if hop.Remaining, err = time.ParseDuration(header.Get(headerRemaining)); err != nil {
--- a/router/difference.go
+++ b/router/difference.go
@@ -8,7 +8,7 @@
 func (r *Route) Equal(other *Route) bool {
 	return r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix && r.Kind == other.Kind &&
 		r.Timeout == other.Timeout && r.LatencyObjective == other.LatencyObjective && r.Priority == other.Priority &&
-		r.MaxAttempts == other.MaxAttempts && r.HasAffinity == other.HasAffinity && r.Fault == other.Fault &&
+		r.MaxAttempts == other.MaxAttempts && r.HasAffinity == other.HasAffinity && r.IsAuthExempt == other.IsAuthExempt && r.Fault == other.Fault &&
 		slices.Equal(r.Shares, other.Shares) && slices.Equal(r.HomeRegions, other.HomeRegions)
 }
 
--- a/router/tenant.go
+++ b/router/tenant.go
@@ -35,6 +35,9 @@
 	// of the route. Empty means all.
 	HomeRegions []string
 	Quota       Quota
+	// Fault says why no request of the tenant can be served: a setting that determines where
+	// or how often requests run could not be parsed.
+	Fault string
 
 	// homeRegionsKey is the result of HomeRegionsKey, computed by NewTable.
 	homeRegionsKey string
@@ -46,9 +49,18 @@
 	if t == nil {
 		return ""
 	}
+	if t.homeRegionsKey == "" {
+		return joinRegions(t.HomeRegions)
+	}
 	return t.homeRegionsKey
 }
 
+// Equal reports whether two tenants have the same keys and are served in the same way.
+func (t *Tenant) Equal(other *Tenant) bool {
+	return t.Name == other.Name && t.Priority == other.Priority && t.HasPriority == other.HasPriority && t.Quota == other.Quota &&
+		t.Fault == other.Fault && slices.Equal(t.Keys, other.Keys) && slices.Equal(t.HomeRegions, other.HomeRegions)
+}
+
 // AllowsRegion reports whether the tenant's requests may be served in a region. A nil
 // Tenant allows all.
 func (t *Tenant) AllowsRegion(region string) bool {
@@ -83,3 +95,19 @@
 		}
 	}
 }
+
+// Home is a home region of a tenant.
+type Home struct{ Tenant, Region string }
+
+// UnknownHomes returns the home regions of tenants that isKnown does not know.
+func (t *Table) UnknownHomes(isKnown func(region string) bool) []Home {
+	var unknown []Home
+	for i := range t.Tenants {
+		for _, region := range t.Tenants[i].HomeRegions {
+			if !isKnown(region) {
+				unknown = append(unknown, Home{Tenant: t.Tenants[i].Name, Region: region})
+			}
+		}
+	}
+	return unknown
+}
--- a/router/tenant_test.go
+++ b/router/tenant_test.go
@@ -50,3 +50,27 @@
 func TestAConfigurationWithoutTenantsNeedsNoKeys(t *testing.T) {
 	require.False(t, newTenantTable().HasTenants())
 }
+
+func TestUnknownHomesAreFound(t *testing.T) {
+	table := newTenantTable(router.Tenant{Name: "a", HomeRegions: []string{"north", "nort"}}, router.Tenant{Name: "b"})
+	require.Equal(t, []router.Home{{Tenant: "a", Region: "nort"}}, table.UnknownHomes(func(region string) bool { return region == "north" }))
+}
+
+func TestTenantsDifferByEachSetting(t *testing.T) {
+	base := tenant("a", "k")
+	for name, change := range map[string]func(*router.Tenant){
+		"name":     func(t *router.Tenant) { t.Name = "b" },
+		"keys":     func(t *router.Tenant) { t.Keys = nil },
+		"priority": func(t *router.Tenant) { t.HasPriority = true },
+		"homes":    func(t *router.Tenant) { t.HomeRegions = []string{"north"} },
+		"quota":    func(t *router.Tenant) { t.Quota.Burst = 1 },
+		"fault":    func(t *router.Tenant) { t.Fault = "f" },
+	} {
+		other := base
+		require.True(t, base.Equal(&other))
+		change(&other)
+		require.False(t, base.Equal(&other), name)
+	}
+	exempt, other := router.Route{IsAuthExempt: true}, router.Route{}
+	require.False(t, exempt.Equal(&other))
+}
