feat: the soak has tenants whose keys come and go

Cause: no run with real processes showed who is served by key. Servers report the name that they get and whether a key reached them; the ledger checks both, revocations and 401. Versions reach the store in their order. Measured: go test ./soaker ./cmd/... passes; no soak has been run with it yet.

--- a/cmd/pollencrank/soak.go
+++ b/cmd/pollencrank/soak.go
@@ -21,6 +21,7 @@
 	Instances int           `help:"Number of instances." default:"4"`
 	Servers   int           `help:"Number of backend servers." default:"9"`
 	Callers   int           `help:"Number of callers." default:"24"`
+	Tenants   bool          `help:"Callers need keys of tenants, which are added and revoked."`
 	Only      []string      `help:"Kinds of faults to choose from; all by default: ${soakTroubles}."`
 	Keep      string        `help:"Folder to copy the settings and logs of runs with a broken promise to." default:""`
 	Verbose   bool          `help:"Print each injected fault."`
@@ -68,7 +69,7 @@
 	}
 	result, err := soaker.Run(ctx, soaker.Config{
 		Program: c.Program, Seed: seed, Duration: c.For, Instances: c.Instances, Servers: c.Servers, Callers: c.Callers,
-		Folder: folder, Only: c.Only, Log: log,
+		Folder: folder, Tenants: c.Tenants, Only: c.Only, Log: log,
 	})
 	if err == nil && len(result.Violations) > 0 && c.Keep != "" {
 		kept := fmt.Sprintf("%s/soak-%d", c.Keep, seed)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -71,7 +71,7 @@
 	// The caller reads the whole answer even if the run ends before it is complete.
 	reply := imitator.Send(context.WithoutCancel(ctx), c.client, s.Attempt)
 	c.soak.ledger.endAttempt(s, reply)
-	if c.soak.ledger.hasRoute(s.Attempt) {
+	if c.soak.ledger.hasRoute(s.Attempt) && c.soak.ledger.isServable(s.Attempt) {
 		c.soak.countInFinalPhase(reply)
 	}
 	if instance.isInPlannedStop(s) {
@@ -155,5 +155,8 @@
 		a.Path = "/lookup/"
 	}
 	a.Path += a.ObjectKey
+	if c.soak.keys != nil {
+		a.Key, a.ClaimedTenant = c.soak.keys.draw(c.random), claimedTenant
+	}
 	return a
 }
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -78,6 +78,8 @@
 	// an instance was last restarted, frozen or cut off.
 	limits          map[string]*namedLimit
 	limitsExcusedAt time.Time
+	// keys are the keys of tenants, or nil in a run without them.
+	keys *keyRing
 	// instances are all instances, and comparison compares one that is cut off from all
 	// servers with the others.
 	instances  []*process
@@ -177,6 +179,7 @@
 		l.addViolation("'not run' is true", "%s ran at %s after the refusal", s.ID, run.Server)
 	}
 	s.runs = append(s.runs, run.Server)
+	l.checkTenant(s, run)
 	isHeldUp := run.At.Before(l.linksDisturbedUntil[run.Server])
 	if c, ok := l.forbidden[run.Server]; ok && !isHeldUp && l.mustHaveApplied(s, c) {
 		l.addViolation("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s after the news", s.ID, run.Server, s.instance.id, run.At.Sub(c.at))
@@ -256,6 +259,9 @@
 	case reply.PromisesNotRun():
 		l.counts.NotRun++
 		l.checkRefusal(s)
+	case reply.Status == http.StatusUnauthorized:
+		l.counts.NotRun++
+		l.checkUnauthorized(s)
 	case reply.Status == http.StatusNotFound:
 		l.counts.NotRun++
 		l.checkNotFound(s)
--- a/soaker/restore.go
+++ b/soaker/restore.go
@@ -32,13 +32,11 @@
 
 // rewrite writes the state of the operator and of the servers into the store.
 func (s *soak) rewrite() {
+	s.rewriteConfiguration()
 	s.mu.Lock()
-	version, evacuated := s.version, s.evacuated
+	evacuated := s.evacuated
 	servers := append([]*backend(nil), s.servers...)
 	s.mu.Unlock()
-	if err := s.writeConfiguration(version); err != nil {
-		s.ledger.reportViolation("a configuration is accepted", "%v", err)
-	}
 	for _, domain := range s.domains {
 		if domain == evacuated {
 			continue
@@ -61,6 +59,18 @@
 	}
 }
 
+// rewriteConfiguration writes the newest version into the store again.
+func (s *soak) rewriteConfiguration() {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	if err := s.writeConfiguration(version); err != nil {
+		s.ledger.reportViolation("a configuration is accepted", "%v", err)
+	}
+}
+
 // isClosed reports whether the server has stopped.
 func (b *backend) isClosed() bool {
 	select {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -62,6 +62,8 @@
 	Instances, Servers, Callers int
 	// Folder is where settings and logs are written.
 	Folder string
+	// Tenants makes callers need keys, which come and go.
+	Tenants bool
 	// Only, if not empty, holds the names of the kinds of fault to choose from.
 	Only []string
 	// Log is called for each fault and each stall of the machine.
@@ -90,6 +92,13 @@
 	regionOf  map[string]string
 	domains   []string
 
+	// keys are the keys of tenants, or nil in a run without them.
+	keys *keyRing
+	// configuring makes versions reach the store in their order. It guards tenants, which are
+	// those of the newest version.
+	configuring sync.Mutex
+	tenants     []imitator.TenantConfig
+
 	mu             sync.Mutex
 	servers        []*backend
 	serversStarted int
@@ -129,6 +138,10 @@
 		faultCounts: map[string]int{},
 		cuts:        newServerCuts(),
 	}
+	if config.needsTenants() {
+		s.keys = newKeyRing()
+		s.ledger.keys = s.keys
+	}
 	defer s.close()
 	if err := s.startFleet(); err != nil {
 		return Result{}, err
@@ -205,10 +218,15 @@
 // configure puts the next version in force. Version n has the versioned routes /vN/ of
 // versions n and n-1, besides the permanent routes.
 func (s *soak) configure() error {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	s.mu.Lock()
 	s.version++
 	version := s.version
 	s.mu.Unlock()
+	if s.keys != nil {
+		s.tenants = s.keys.tenants()
+	}
 	if err := s.writeConfiguration(version); err != nil {
 		return err
 	}
@@ -216,7 +234,7 @@
 	return nil
 }
 
-// writeConfiguration writes a version into the store.
+// writeConfiguration writes a version into the store. The caller holds configuring.
 func (s *soak) writeConfiguration(version uint64) error {
 	const host = callerHost
 	const second = time.Second
@@ -231,7 +249,10 @@
 			Priority: 1, Timeout: 2 * second, LatencyObjective: second / 2,
 		})
 	}
-	return s.store.Configure(version, routes, s.services)
+	for i := range routes {
+		routes[i].IsAuthExempt = s.keys != nil && routes[i].PathPrefix == exemptPrefix
+	}
+	return s.store.ConfigureTenants(version, routes, s.services, s.tenants)
 }
 
 // awaitReady waits until every instance reports that it is ready.
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -120,6 +120,9 @@
 		{"answersTwice", s.misbehave(imitator.Misbehaviour{Refused: 0.5, Repeated: 0.1})},
 		{"failsAfterRun", s.misbehave(imitator.Misbehaviour{FailedAfterRun: 0.3})},
 	}
+	if s.config.needsTenants() {
+		all = append(all, s.tenantFaultKinds()...)
+	}
 	if len(s.config.Only) == 0 {
 		return s.chooseKinds(all)
 	}
@@ -156,7 +159,7 @@
 // FaultNames returns the names of all kinds of fault.
 func FaultNames() []string {
 	var names []string
-	for _, k := range (&soak{}).faultKinds() {
+	for _, k := range (&soak{config: Config{Tenants: true}}).faultKinds() {
 		names = append(names, k.name)
 	}
 	return names
