--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -300,6 +300,7 @@
 	cancel()
 	tasks.Wait()
 	s.killAll()
+	s.checkLogs()
 	counts, violations := s.ledger.result()
 	result := Result{Counts: counts, Violations: violations, Faults: s.faultCounts, Stalls: s.stalls}
 	if err != nil {
--- a/soaker/tenants.go
+++ b/soaker/tenants.go
@@ -1,10 +1,12 @@
 package soaker
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +24,8 @@
 	unknownKeyShare = 0.05
 	noKeyShare      = 0.05
 	revokedKeyShare = 0.1
+	// keyStart begins all keys.
+	keyStart = "s3cr3t-"
 	// exemptPrefix begins the paths of the route that needs no key.
 	exemptPrefix = "/urgent/"
 	// claimedTenant is what callers say of their tenant themselves.
@@ -71,7 +75,7 @@
 func (r *keyRing) add(tenant int) *apiKey {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := &apiKey{text: fmt.Sprintf("s3cr3t-%d-of-%d", len(r.keys), tenant), tenant: tenantName(tenant)}
+	key := &apiKey{text: fmt.Sprintf(keyStart+"%d-of-%d", len(r.keys), tenant), tenant: tenantName(tenant)}
 	r.keys = append(r.keys, key)
 	return key
 }
@@ -135,7 +139,7 @@
 	share, choice := random.Float64(), random.Uint64()
 	switch {
 	case share < unknownKeyShare:
-		return fmt.Sprint("s3cr3t-unknown-", choice%objectCount)
+		return fmt.Sprint(keyStart+"unknown-", choice%objectCount)
 	case share < unknownKeyShare+noKeyShare:
 		return ""
 	}
@@ -180,6 +184,20 @@
 	s.keys.accept(key, func(k *apiKey, now time.Time) { k.revokedAt = now })
 }
 
+// checkLogs checks that no instance has logged a key.
+func (s *soak) checkLogs() {
+	for _, p := range s.instances {
+		log, err := os.ReadFile(p.logPath)
+		if err != nil {
+			s.ledger.reportViolation("a log is written", "%s: %v", p.id, err)
+			continue
+		}
+		if bytes.Contains(log, []byte(keyStart)) {
+			s.ledger.reportViolation("no key is logged", "%s", p.id)
+		}
+	}
+}
+
 func isExempt(a imitator.Attempt) bool {
 	return len(a.Path) >= len(exemptPrefix) && a.Path[:len(exemptPrefix)] == exemptPrefix
 }
