--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -50,6 +50,8 @@
 	isCutFromStore, isCutFromPeers bool
 	// isRejected is whether the store rejects the calls of the instance.
 	isRejected bool
+	// isOlder is whether the build of the instance knows no tenants.
+	isOlder bool
 	// suspended is for how long the machine was suspended.
 	suspended time.Duration
 	// seen holds the evacuations that the instance has received, versions those of
@@ -319,7 +321,7 @@
 			case <-time.After(10 * time.Millisecond):
 			}
 		}
-		return handle(update)
+		return handle(other.asSent(update))
 	})
 }
 
@@ -334,7 +336,19 @@
 		return replicator.Update{}, ctx.Err()
 	}
 	update, _ := other.current().Since(cursor)
-	return update, nil
+	return other.asSent(update), nil
+}
+
+// asSent returns an update as the build of the instance sends it.
+func (n *node) asSent(update replicator.Update) replicator.Update {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.isOlder && update.Configuration != nil {
+		configuration := *update.Configuration
+		configuration.LacksTenants = true
+		update.Configuration = &configuration
+	}
+	return update
 }
 
 func (p peers) isDown(other *node) bool {
