--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -184,7 +184,8 @@
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	// The quota of call.Tenant is asked for here: the request is admitted, and no server has it.
+	// The quota of call.Tenant is asked for here: the request is admitted, and no server has
+	// it. If hop is set, the other instance has asked.
 	body, err := r.stageBody(w, incoming, call)
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -339,18 +339,6 @@
 	return other.asSent(update), nil
 }
 
-// asSent returns an update as the build of the instance sends it.
-func (n *node) asSent(update replicator.Update) replicator.Update {
-	n.fleet.mu.Lock()
-	defer n.fleet.mu.Unlock()
-	if n.isOlder && update.Configuration != nil {
-		configuration := *update.Configuration
-		configuration.LacksTenants = true
-		update.Configuration = &configuration
-	}
-	return update
-}
-
 func (p peers) isDown(other *node) bool {
 	p.n.fleet.mu.Lock()
 	defer p.n.fleet.mu.Unlock()
--- a/replicator/older_test.go
+++ b/replicator/older_test.go
@@ -5,8 +5,22 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/replicator"
 )
 
+// asSent returns an update as the build of the instance sends it.
+func (n *node) asSent(update replicator.Update) replicator.Update {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.isOlder && update.Configuration != nil {
+		configuration := *update.Configuration
+		configuration.LacksTenants = true
+		update.Configuration = &configuration
+	}
+	return update
+}
+
 // Guards against instances that get no configurations any more while the relay of their
 // failure domain still runs a build that knows no tenants: they take them from the store.
 func TestConfigurationsArriveBehindARelayThatKnowsNoTenants(t *testing.T) {
