fix: an older relay that lists the store again is followed on

An instance whose build knows no tenants and that had listed the store again sent the version in force at a newer position. It was refused (TenantsMissingError) and the stream ended, although nothing of the configuration was new.

A message without tenants whose version is the one in force now keeps the value and advances the position. Others are refused as before.

--- a/replicator/tenants.go
+++ b/replicator/tenants.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/internal/newspb"
 	"github.com/pollencrank/pollencrank/router"
 )
@@ -36,6 +37,17 @@
 	return !isLoaded || update.Position > position
 }
 
+// applyWithoutTenants applies an update whose sender knows no tenants, if it is a later
+// position of the version in force: the sender has listed the store again.
+func (s *State) applyWithoutTenants(update ConfigurationUpdate) error {
+	position, _ := s.Configurations.Position()
+	current, isKnown := s.Configurations.Value(configurationName)
+	if !isKnown || current.Version != update.Configuration.Version {
+		return &TenantsMissingError{Version: update.Configuration.Version}
+	}
+	return s.Configurations.ApplyChange(follower.Change[router.Configuration]{After: position, Position: update.Position})
+}
+
 func encodeTenants(update *ConfigurationUpdate) (newspb.TenantState, []*newspb.Tenant) {
 	if update.HasBaseTenants {
 		return newspb.TenantState_TENANT_STATE_AS_BASE, nil
--- a/replicator/tenants_test.go
+++ b/replicator/tenants_test.go
@@ -134,6 +134,26 @@
 	require.ErrorAs(t, newTestState().Apply(decodeOlder(t, olderWhole)), &missing, "nor by an instance that has just started")
 }
 
+// Guards against a stream that ends because an older build has listed the store again: the
+// version is the one in force, only its position is newer.
+func TestAVersionInForceOfABuildWithoutTenantsAdvancesThePosition(t *testing.T) {
+	for name, text := range map[string]string{"whole": olderWhole, "change": olderChange} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestState()
+			c := router.Configuration{Version: 2, Tenants: []router.Tenant{testTenant("north", "a")}}
+			configureAt(t, s, 2, c)
+			require.NoError(t, s.Apply(decodeOlder(t, text)))
+			got, _ := s.Configurations.Value(configurationName)
+			require.Equal(t, c, got)
+			require.EqualValues(t, 5, s.Cursor().Configurations)
+			update, _ := s.Since(Cursor{Positions: Positions{Configurations: 2}, Version: 2})
+			require.NoError(t, s.Apply(update))
+			got, _ = s.Configurations.Value(configurationName)
+			require.Equal(t, c, got)
+		})
+	}
+}
+
 func TestMalformedTenantsAreRejected(t *testing.T) {
 	good := &newspb.Range{After: 1, Position: 2}
 	for name, tenant := range map[string]*newspb.Tenant{
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -250,7 +250,7 @@
 		return s.Configurations.ApplyChange(change)
 	}
 	if update.LacksTenants && s.isAhead(update) {
-		return &TenantsMissingError{Version: next.Version}
+		return s.applyWithoutTenants(update)
 	}
 	if update.BaseVersion != 0 {
 		current, _ := s.Configurations.Value(configurationName)
