fix: a key is checked again after the body of its request

The tenant was fixed before the body arrived, which may take until the deadline. A request whose key was revoked or moved meanwhile ran for the old tenant later than 3 s after the version, and one that was admitted before the first version with tenants reached the server with the key and with the name that the caller claimed.

If another table is in force after the body, a caller's request is identified again: an unknown key gets 401, another tenant a temporary refusal (503, not run), and the headers are set as the newer version asks. The route stays that of the admission, as for configurations without tenants. Requests of other instances and those without a body are not checked again. The header step has left admit.

TestAKeyIsCheckedAgainAfterTheBody fails without the change in 8 of 10 cases (the other two are those that must not change) and passes with it; go test -race ./relayer passes.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -187,11 +187,15 @@
 	// The quota of call.Tenant is asked for here: the request is admitted, and no server has
 	// it. If hop is set, the other instance has asked.
 	body, err := r.stageBody(w, incoming, call)
+	defer body.release()
+	if err == nil {
+		err = r.confirmTenant(incoming, call, headers.Key)
+	}
 	if err != nil {
+		body.takeBack()
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	defer body.release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
 	defer cancel()
 	answer, err := r.config.Forwarder.Forward(ctx, call)
@@ -273,10 +277,6 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	header := pollencrank.EndToEnd(incoming.Header)
-	if table.HasTenants() {
-		r.config.Dialect.SetTenant(header, nameOf(tenant))
-	}
 	call := &forwarder.Call{
 		Table:     table,
 		Route:     route,
@@ -290,7 +290,7 @@
 			Method:        incoming.Method,
 			Host:          incoming.Host,
 			URI:           incoming.RequestURI,
-			Header:        header,
+			Header:        r.headerFor(tenant, table, incoming.Header),
 			ContentLength: incoming.ContentLength,
 		},
 	}
--- a/relayer/tenant.go
+++ b/relayer/tenant.go
@@ -1,9 +1,11 @@
 package relayer
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/rerouter"
 	"github.com/pollencrank/pollencrank/router"
 )
@@ -51,6 +53,44 @@
 	return err
 }
 
+// headerFor returns the header of a request as a server gets it.
+func (r *Relayer) headerFor(tenant *router.Tenant, table *router.Table, incoming http.Header) http.Header {
+	header := pollencrank.EndToEnd(incoming)
+	r.setTenant(header, tenant, table)
+	return header
+}
+
+// setTenant puts the name of a tenant, or none, in place of the key and of what the caller
+// says. Without tenants in the configuration headers pass as they are.
+func (r *Relayer) setTenant(header http.Header, tenant *router.Tenant, table *router.Table) {
+	if table.HasTenants() {
+		r.config.Dialect.SetTenant(header, nameOf(tenant))
+	}
+}
+
+// confirmTenant identifies the caller again by the table in force, after a body that may have
+// taken long: meanwhile the key may have been revoked, or the first tenants may have come.
+// The route stays the one by which the request was admitted.
+func (r *Relayer) confirmTenant(incoming *http.Request, call *forwarder.Call, key string) error {
+	table, now := r.config.Table(), time.Now()
+	if call.Hop != nil || incoming.ContentLength == 0 || table == call.Table {
+		return nil
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	if route == nil {
+		route = call.Route
+	}
+	tenant, err := identify(table, route, key, nil, now)
+	if err != nil {
+		return err
+	}
+	if nameOf(tenant) != nameOf(call.Tenant) {
+		return temporaryRefusal(pollencrank.ReasonNotReady, now, "by version %d, in force since the body arrived, the tenant is another one", table.Version)
+	}
+	r.setTenant(call.Request.Header, tenant, table)
+	return nil
+}
+
 // nameOf returns the name of a tenant, or an empty one.
 func nameOf(tenant *router.Tenant) string {
 	if tenant == nil {
--- a/relayer/tenant_test.go
+++ b/relayer/tenant_test.go
@@ -207,6 +207,68 @@
 	}
 }
 
+// slowBody is a body that arrives after a call of before.
+type slowBody struct{ before func() }
+
+// Read implements io.Reader.
+func (b slowBody) Read([]byte) (int, error) {
+	b.before()
+	return 0, io.EOF
+}
+
+// Guards against a caller who keeps a revoked key in use, or whose key reaches a server, by a
+// body that arrives after the next version.
+func TestAKeyIsCheckedAgainAfterTheBody(t *testing.T) {
+	both := http.Header{"Test-Key": {secret + "a"}, "Test-Tenant": {"mine"}}
+	onlyName := http.Header{"Test-Tenant": {"mine"}}
+	none, north := newTenantTable(1), newTenantTable(1, tenant("north", "a"))
+	faulty := tenant("north", "a")
+	faulty.Fault = "home-regions cannot be read"
+	for name, test := range map[string]struct {
+		before, after *router.Table
+		path          string
+		header        http.Header
+		status        int
+		want          http.Header
+	}{
+		"revoked":              {north, newTenantTable(2, tenant("north", "b")), "/x/1", both, 401, nil},
+		"moved":                {north, newTenantTable(2, tenant("north"), tenant("south", "a")), "/x/1", both, 503, nil},
+		"unreadable":           {north, newTenantTable(2, faulty), "/x/1", both, 503, nil},
+		"still held":           {north, newTenantTable(2, tenant("north", "a", "b")), "/x/1", both, 200, http.Header{"Test-Tenant": {"north"}}},
+		"revoked, exempt":      {north, newTenantTable(2, tenant("north", "b")), "/open/1", both, 503, nil},
+		"the last tenant goes": {north, newTenantTable(2), "/x/1", both, 503, nil},
+		"the first comes":      {none, north, "/x/1", both, 503, nil},
+		"and there is no key":  {none, north, "/x/1", onlyName, 401, nil},
+		"and none is needed":   {none, north, "/open/1", onlyName, 200, http.Header{}},
+		"no tenants":           {none, router.NewTable(router.Configuration{Version: 2}), "/x/1", both, 200, both},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(test.before)
+			r := httptest.NewRequest(http.MethodPost, "http://a.example"+test.path, slowBody{func() { g.table.Store(test.after) }})
+			r.Header = test.header.Clone()
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			require.Equal(t, test.status, w.Code)
+			require.Equal(t, test.status == 503, w.Header().Get("Retry-After") != "")
+			require.NotContains(t, g.log.String(), secret)
+			call := g.last()
+			require.Equal(t, test.status == 200, call != nil)
+			if call != nil {
+				require.Equal(t, test.want, call.Request.Header)
+			}
+		})
+	}
+}
+
+// The other instance has checked the key, and answers for the tenant that it names.
+func TestAReroutedRequestKeepsItsTenantWhileTheBodyArrives(t *testing.T) {
+	g := newGate(newTenantTable(7, tenant("north", "a")))
+	r := httptest.NewRequest(http.MethodPost, "http://a.example/x/1", slowBody{func() { g.table.Store(newTenantTable(8)) }})
+	r.Header = http.Header{"Pollencrank-Rerouted": {"2"}, "Pollencrank-Remaining": {"300ms"}, "Pollencrank-Version": {"7", "7 north"}}
+	require.Equal(t, 200, serveRerouted(g.Relayer, r).Code)
+	require.Equal(t, "north", g.last().Request.Header.Get("Test-Tenant"))
+}
+
 func TestEachRequestOfAConnectionIsCheckedByItself(t *testing.T) {
 	g := newGate(newTenantTable(7, tenant("north", "a"), tenant("south", "c")))
 	conn, reader := connect(t, serveCallers(t, g.Relayer))
