fix: another instance's 401 is no answer to the caller, and one tenant shuts no instance out

A request that is sent through another instance carries no key. One of another version may miss it, for a route that needs none here, and its 401 reached the caller. It is taken for notReady now, as its 404 is. And an instance that did not know a tenant yet got no request of any caller for a second; after such a refusal it is asked again.

Both new tests fail without the change and pass with it; go test -race ./rerouter passes.

--- a/rerouter/hop.go
+++ b/rerouter/hop.go
@@ -153,14 +153,14 @@
 }
 
 // Refusal implements dispatcher.Dialect. That the other instance does not reach a server
-// either must not look as if that instance had not been reached; and a route that it does not
-// know is there by the configuration of this one.
+// either must not look as if that instance had not been reached; and a route or a key that it
+// does not know is there by the configuration of this one.
 func (peerDialect) Refusal(_ int, header http.Header) (pollencrank.Reason, bool) {
 	reason := pollencrank.Reason(header.Get(headerReason))
 	switch reason {
 	case pollencrank.ReasonServerUnreachable, pollencrank.ReasonServerFailed:
 		reason = pollencrank.ReasonNoServer
-	case pollencrank.ReasonNoRoute:
+	case pollencrank.ReasonNoRoute, pollencrank.ReasonUnknownKey:
 		reason = pollencrank.ReasonNotReady
 	}
 	return reason, header.Get(headerOutcome) == outcomeNotRun
--- a/rerouter/rerouter.go
+++ b/rerouter/rerouter.go
@@ -116,7 +116,9 @@
 		if err == nil || !mayTakeAnother(err) {
 			return answer, err
 		}
-		r.avoid(avoidance{peer.ID, request.Service})
+		if !concernsTenant(request.Hop, err) {
+			r.avoid(avoidance{peer.ID, request.Service})
+		}
 		r.config.Log.Info("an instance did not take a request of one that is cut off", recorder.EventRerouteFailed.Attr(),
 			slog.String("request", request.ID), slog.String("instance", peer.ID), slog.Any("error", err))
 	}
@@ -167,6 +169,13 @@
 	return false
 }
 
+// concernsTenant reports whether an instance may have refused a request because it does not
+// know the tenant yet. It may take the requests of others.
+func concernsTenant(hop Hop, err error) bool {
+	var notRun *pollencrank.NotRunError
+	return hop.Tenant != "" && errors.As(err, &notRun) && notRun.Reason == pollencrank.ReasonNotReady
+}
+
 func (r *Rerouter) avoid(a avoidance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/rerouter/tenant_test.go
+++ b/rerouter/tenant_test.go
@@ -72,3 +72,43 @@
 		require.Equal(rt, name, hop.Tenant)
 	})
 }
+
+// Guards against a caller that gets 401 although its key is held, or its route needs none, by
+// the version of the instance that it asked: the other one had another version and no key.
+func TestAKeyThatAnotherInstanceMissesIsNotUnknown(t *testing.T) {
+	p := &peers{}
+	p.add(t, "only", "north", refuse(pollencrank.ReasonUnknownKey, true))
+	_, err := send(t, p.newRerouter(t), anyRegion, "order")
+	var notRun *pollencrank.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, pollencrank.ReasonNotReady, notRun.Reason)
+}
+
+// Guards against an instance that gets no request because it does not know one tenant yet.
+func TestAnInstanceThatDoesNotKnowATenantGetsOtherRequests(t *testing.T) {
+	for _, test := range []struct {
+		reason pollencrank.Reason
+		tenant string
+		asked  []string
+	}{
+		{pollencrank.ReasonNotReady, "north", []string{"near", "far", "near", "far"}},
+		{pollencrank.ReasonStopping, "north", []string{"near", "far", "far"}},
+		{pollencrank.ReasonNotReady, "", []string{"near", "far", "far"}},
+	} {
+		p := &peers{}
+		p.add(t, "near", "north", refuse(test.reason, true))
+		p.add(t, "far", "south", serve)
+		r := p.newRerouter(t)
+		for range 2 {
+			newRequest := func() *pollencrank.Request {
+				return &pollencrank.Request{ID: "7", Method: http.MethodGet, Host: "a.example", URI: "/x", Header: http.Header{}, Deadline: time.Now().Add(5 * time.Second)}
+			}
+			answer, err := r.Send(t.Context(), rerouter.Request{
+				Request: newRequest(), NewBody: newRequest, IsAllowed: anyRegion, Hop: rerouter.Hop{MaxAttempts: 2, Version: 7, Tenant: test.tenant},
+			})
+			require.NoError(t, err)
+			require.NoError(t, answer.Body.Close())
+		}
+		require.Equal(t, test.asked, p.asked)
+	}
+}
