fix: the soak checks tenants of exempt routes in time, too

A request of an exempt route could lack its tenant for ever if its key was added in the run, and could be served for a tenant long after the key's revocation. Both are bounded now, by the time of the addition and of the revocation. A caller with no key that is held for certain sends none; the draw divided by zero before.

Checks became stricter only. The two new cases of the ledger's test and the new test of the draw fail without the change (the latter panics); go test ./soaker passes.

--- a/soaker/tenants.go
+++ b/soaker/tenants.go
@@ -134,7 +134,7 @@
 	return apiKey{}
 }
 
-// draw returns the key of a caller's next request.
+// draw returns the key of a caller's next request, or none while none is held for certain.
 func (r *keyRing) draw(random *rand.Rand) string {
 	share, choice := random.Float64(), random.Uint64()
 	switch {
@@ -158,6 +158,9 @@
 	if isRevoked && len(revoked) > 0 {
 		held = revoked
 	}
+	if len(held) == 0 {
+		return ""
+	}
 	return held[choice%uint64(len(held))]
 }
 
@@ -221,29 +224,41 @@
 		return
 	}
 	key := l.keys.find(s.Key)
-	mayLackTenant := isExempt(s.Attempt) && (key.isRevoked || !key.isFirst)
-	if run.Tenant != key.tenant && !(mayLackTenant && run.Tenant == "") {
+	if run.Tenant != key.tenant && !(run.Tenant == "" && l.mayLackTenant(s, key)) {
 		l.addViolation("a server is told the tenant that holds the key", "%s at %s by %s: %q instead of %q", s.ID, run.Server, s.instance.id, run.Tenant, key.tenant)
 	}
-	if isExempt(s.Attempt) {
-		return
-	}
-	if key.text == "" {
+	isGone := !key.revokedAt.IsZero() && l.mustHaveApplied(s, change{at: key.revokedAt, bound: configurationBound})
+	switch {
+	case isExempt(s.Attempt):
+		if isGone && run.Tenant != "" {
+			l.addViolation("a revoked key identifies nobody", "%s at %s by %s, %s after its revocation", s.ID, run.Server, s.instance.id, run.At.Sub(key.revokedAt))
+		}
+	case key.text == "":
 		l.addViolation("nothing runs with an unknown key", "%s at %s by %s", s.ID, run.Server, s.instance.id)
-	}
-	if !key.revokedAt.IsZero() && l.mustHaveApplied(s, change{at: key.revokedAt, bound: configurationBound}) {
+	case isGone:
 		l.addViolation("nothing runs with a revoked key", "%s at %s by %s, %s after its revocation", s.ID, run.Server, s.instance.id, run.At.Sub(key.revokedAt))
 	}
 }
 
+// mayLackTenant reports whether an attempt may run without the tenant of its key, because its
+// route needs no key and the version in force may lack that key. The caller holds the lock.
+func (l *ledger) mayLackTenant(s *sentAttempt, key apiKey) bool {
+	return isExempt(s.Attempt) && (key.isRevoked || !l.mustKnow(s, key))
+}
+
+// mustKnow reports whether an attempt was sent after its key must have been in force, unless
+// it was revoked since. The caller holds the lock.
+func (l *ledger) mustKnow(s *sentAttempt, key apiKey) bool {
+	return key.isFirst || !key.addedAt.IsZero() && l.mustHaveApplied(s, change{at: key.addedAt, bound: configurationBound})
+}
+
 // checkUnauthorized checks that a request got 401 only where a version permits it. The caller
 // holds the lock.
 func (l *ledger) checkUnauthorized(s *sentAttempt) {
 	l.checkRefusal(s)
 	if l.isServable(s.Attempt) {
 		key := l.keyOf(s.Attempt)
-		isLate := !key.addedAt.IsZero() && l.mustHaveApplied(s, change{at: key.addedAt, bound: configurationBound})
-		if isExempt(s.Attempt) || key.isFirst || isLate {
+		if isExempt(s.Attempt) || l.mustKnow(s, key) {
 			l.addViolation("a key that is held is served", "%s got %d from %s", s.ID, http.StatusUnauthorized, s.instance.id)
 		}
 	}
--- a/soaker/tenants_test.go
+++ b/soaker/tenants_test.go
@@ -35,6 +35,10 @@
 		"a key that was just added":  {"/lookup/1", "added", nil, unauthorized, 0},
 		"a key of an exempt route":   {"/urgent/1", "first", &imitator.Run{Tenant: "tenant-0"}, served, 0},
 		"an exempt route, no tenant": {"/urgent/1", "first", &imitator.Run{}, served, 1},
+		"exempt, just added":         {"/urgent/1", "added", &imitator.Run{}, served, 0},
+		"exempt, added long ago":     {"/urgent/1", "known", &imitator.Run{}, served, 1},
+		"exempt, revoked":            {"/urgent/1", "revoked", &imitator.Run{}, served, 0},
+		"exempt, revoked long ago":   {"/urgent/1", "revoked", &imitator.Run{Tenant: "tenant-1"}, served, 1},
 		"no key, exempt route":       {"/urgent/1", "", &imitator.Run{}, served, 0},
 		"an exempt route refuses":    {"/urgent/1", "unknown", nil, unauthorized, 1},
 	} {
@@ -44,12 +48,13 @@
 				ring := newKeyRing()
 				s.keys = ring
 				revoked := ring.add(1)
-				added := ring.add(0)
+				added, known := ring.add(0), ring.add(2)
 				ring.accept(revoked, func(k *apiKey, now time.Time) {
 					k.addedAt, k.revokedAt, k.isRevoked = now.Add(-time.Minute), now.Add(-time.Minute), true
 				})
 				ring.accept(added, func(k *apiKey, now time.Time) { k.addedAt = now })
-				texts := map[string]string{"first": ring.keys[0].text, "revoked": revoked.text, "added": added.text, "unknown": "s3cr3t-unknown"}
+				ring.accept(known, func(k *apiKey, now time.Time) { k.addedAt = now.Add(-time.Minute) })
+				texts := map[string]string{"first": ring.keys[0].text, "revoked": revoked.text, "added": added.text, "known": known.text, "unknown": "s3cr3t-unknown"}
 				a := s.beginAttempt(imitator.Attempt{ID: "a", Path: test.path, Key: texts[test.key]}, s.instance)
 				if test.run != nil {
 					run := *test.run
@@ -79,6 +84,16 @@
 	require.Positive(t, held)
 }
 
+// Guards against a crash while only keys are left that no accepted version has yet.
+func TestARequestWithoutAKeyIsDrawnIfNoneIsHeld(t *testing.T) {
+	ring := &keyRing{}
+	ring.add(0)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		require.Empty(t, ring.find(ring.draw(random)).text)
+	}
+}
+
 // Guards seeds of earlier runs: without tenants the same faults are drawn as before.
 func TestRunsWithoutTenantsDrawTheSameFaults(t *testing.T) {
 	without := (&soak{}).faultKinds()
