--- a/hoster/tenant_test.go
+++ b/hoster/tenant_test.go
@@ -48,6 +48,13 @@
 	_, _ = fmt.Fprint(w, strings.Join(r.Header.Values("X-Tenant"), ","))
 }
 
+func (s *tellTenant) requireNoKey(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Empty(t, s.keys)
+}
+
 // getAs sends a request with the key of a tenant, and a forged name.
 func (e *entry) getAs(t *testing.T, tenant, path string) (int, string) {
 	t.Helper()
@@ -98,7 +105,7 @@
 	status, _ = e.getAs(t, "north", "/6")
 	require.Equal(t, http.StatusUnauthorized, status)
 	e.requireNoKeyLogged(t)
-	require.Empty(t, servers.keys)
+	servers.requireNoKey(t)
 }
 
 // Guards against a request that loses its tenant, or shows its key, on the way through another
@@ -132,5 +139,5 @@
 	require.Equal(t, http.StatusUnauthorized, status)
 	cutOff.requireNoKeyLogged(t)
 	other.requireNoKeyLogged(t)
-	require.Empty(t, servers.keys)
+	servers.requireNoKey(t)
 }
