fix: a version of two configurations is no base of a change

recentConfigurations.find returned the first configuration of a version. A store that came back from an earlier copy may give a number to another configuration; a change could then be sent against one that the receiver does not have. The recent configurations have a file of their own.

--- a/replicator/tenants_test.go
+++ b/replicator/tenants_test.go
@@ -78,6 +78,32 @@
 	require.Empty(t, m.GetTenants())
 }
 
+// Guards against a receiver that merges a change with another configuration of the same
+// number, which a store may write after it came back from an earlier copy.
+func TestAVersionOfTwoConfigurationsIsNoBase(t *testing.T) {
+	s := newTestState()
+	c := router.Configuration{Version: 1, Tenants: []router.Tenant{testTenant("north", "a")}}
+	configureAt(t, s, 2, c)
+	cursor := s.Cursor()
+	for position := range follower.Position(maxRecent) {
+		configureAt(t, s, 3+position, c)
+	}
+	other := router.Configuration{Version: 2, Tenants: c.Tenants}
+	configureAt(t, s, 10, other)
+	update, _ := s.Since(cursor)
+	require.EqualValues(t, 1, update.Configuration.BaseVersion, "the same configuration again is no other one")
+
+	c.Tenants = []router.Tenant{testTenant("north", "b")}
+	s = newTestState()
+	configureAt(t, s, 2, other)
+	cursor = s.Cursor()
+	configureAt(t, s, 3, router.Configuration{Version: 2, Tenants: c.Tenants})
+	configureAt(t, s, 4, router.Configuration{Version: 3, Tenants: c.Tenants})
+	update, _ = s.Since(cursor)
+	require.Zero(t, update.Configuration.BaseVersion)
+	require.Equal(t, c.Tenants, update.Configuration.Configuration.Tenants)
+}
+
 // Guards against keys that other instances could read.
 func TestNoKeyIsSentToOtherInstances(t *testing.T) {
 	s := newTestState()
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pollencrank/pollencrank/follower"
@@ -271,59 +270,3 @@
 	change.Items = []follower.Item[router.Configuration]{{Name: configurationName, Revision: update.Revision, Value: next}}
 	return s.Configurations.ApplyChange(change)
 }
-
-// maxRecent is the number of configurations that changes can be sent against. An
-// instance that lags further behind gets the whole configuration.
-const maxRecent = 4
-
-// recentConfigurations keeps the latest maxRecent configurations.
-type recentConfigurations struct {
-	mu   sync.Mutex
-	last []router.Configuration
-}
-
-func (r *recentConfigurations) add(c router.Configuration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.last = append(r.last, c)
-	if len(r.last) > maxRecent {
-		r.last = slices.Delete(r.last, 0, 1)
-	}
-}
-
-func (r *recentConfigurations) find(version uint64) (router.Configuration, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.last {
-		if c.Version == version && version != 0 {
-			return c, true
-		}
-	}
-	return router.Configuration{}, false
-}
-
-// recordingHandler adds every configuration to recent before it passes it on.
-type recordingHandler struct {
-	follower.Handler[router.Configuration]
-	recent *recentConfigurations
-}
-
-// Reset implements follower.Handler.
-func (r recordingHandler) Reset(items []follower.Item[router.Configuration]) {
-	r.record(items)
-	r.Handler.Reset(items)
-}
-
-// Apply implements follower.Handler.
-func (r recordingHandler) Apply(items []follower.Item[router.Configuration]) {
-	r.record(items)
-	r.Handler.Apply(items)
-}
-
-func (r recordingHandler) record(items []follower.Item[router.Configuration]) {
-	for _, item := range items {
-		if !item.Removed && item.Name == configurationName {
-			r.recent.add(item.Value)
-		}
-	}
-}
