feat: Membership.Holding: who shares a bound over the regions, and since when

Cause: quotas of tenants are bounded over the whole fleet with a small margin. Change: Holding chooses up to three holders, the best of each region first. All changes that are learned together count as one; a new holder waits takeOverWait beyond the settling; a share grows only when nobody can act on the earlier view; Interrupt lets a machine that was suspended hold nothing until news has settled again.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -200,7 +200,7 @@
 	var nearest []Member
 	least := 0
 	for _, m := range b.lenders {
-		distance := a.distanceTo(m)
+		distance := a.self().DistanceTo(m)
 		if len(nearest) == 0 || distance < least {
 			nearest, least = nearest[:0], distance
 		}
@@ -214,18 +214,6 @@
 	return nearest[rand.IntN(len(nearest))], true
 }
 
-// distanceTo returns 0 for a member in the own failure domain, 1 for one in the own
-// region, and 2 for others.
-func (a *Apportioner) distanceTo(m Member) int {
-	switch self := a.self(); {
-	case m.FailureDomain == self.FailureDomain:
-		return 0
-	case m.Region == self.Region:
-		return 1
-	}
-	return 2
-}
-
 func (a *Apportioner) borrow(ctx context.Context, lender Member, limit Limit, rank int) bool {
 	if a.config.Lender == nil {
 		return false
--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -29,6 +29,18 @@
 	Region        string
 }
 
+// DistanceTo returns 0 for a member in the same failure domain, 1 for one in the same region,
+// and 2 for others.
+func (m Member) DistanceTo(other Member) int {
+	switch {
+	case other.FailureDomain == m.FailureDomain:
+		return 0
+	case other.Region == m.Region:
+		return 1
+	}
+	return 2
+}
+
 // MembershipConfig is the configuration of a Membership.
 type MembershipConfig struct {
 	Self Member
@@ -60,6 +72,8 @@
 	mayHoldFrom time.Time
 	// holdings caches which shares this instance holds, by the name of the bound.
 	holdings map[string]holding
+	// spreads holds the bounds that were asked for with Holding, by their names.
+	spreads map[string]*spread
 	// changedAt is when the members last changed, and version counts their changes.
 	changedAt time.Time
 	version   atomic.Uint64
@@ -88,6 +102,7 @@
 		departedAt: map[string]time.Time{},
 		changedAt:  config.StartedAt,
 		holdings:   map[string]holding{},
+		spreads:    map[string]*spread{},
 
 		confirmedAt: config.StartedAt,
 		mayHoldFrom: config.StartedAt.Add(settleTime),
@@ -98,6 +113,7 @@
 func (m *Membership) Set(members []Member, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.updateSpreads(m.version.Load(), now)
 	isListed := map[string]bool{}
 	for _, member := range members {
 		isListed[member.ID] = true
@@ -136,6 +152,14 @@
 	m.confirmedAt = now
 }
 
+// Interrupt records that this instance did not run for a while although its clock did not
+// advance, as on a suspended machine: it does not know what others hold since.
+func (m *Membership) Interrupt(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mayHoldFrom = latest(m.mayHoldFrom, now.Add(settleTime))
+}
+
 // MayHold reports whether this instance may hold shares of bounds.
 func (m *Membership) MayHold(now time.Time) bool {
 	m.mu.Lock()
@@ -243,6 +267,7 @@
 func (m *Membership) Sweep(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.updateSpreads(m.version.Load(), now)
 	m.removeGone(now)
 }
 
--- /dev/null
+++ b/apportioner/spread.go
@@ -0,0 +1,135 @@
+package apportioner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pollencrank/pollencrank"
+)
+
+const (
+	// maxSpread is the number of instances that share a bound for which Holding is asked.
+	// It depends on no configuration, because instances may have different ones.
+	maxSpread = 3
+	// spreadLease is how long an instance holds a part without hearing from the store or
+	// from another instance. It is shorter than contactLease, because a new holder waits for
+	// it.
+	spreadLease = 1250 * time.Millisecond
+	// takeOverWait is how long a new holder waits beyond the time at which its view of the
+	// members has settled: the earlier holder may have heard, for as long as news travels,
+	// only from instances that did not know either, and holds for spreadLease more.
+	takeOverWait = spreadLease
+	// spreadMemory is how long a bound is kept that nobody asks for.
+	spreadMemory = departureMemory
+)
+
+// Holding says who shares a bound of the whole fleet.
+type Holding struct {
+	// Holders are the instances that share the bound, of different regions where there
+	// are enough. It must not be changed.
+	Holders []Member
+	// Parts is the number of equal parts into which the bound is divided.
+	Parts int
+	// IsHolder says that this instance holds a part, From since when. It must count as if
+	// another instance had spent the part just before.
+	IsHolder bool
+	From     time.Time
+}
+
+// spread is a bound that a few instances of different regions share.
+type spread struct {
+	holders  []Member
+	isHolder bool
+	since    time.Time
+	askedAt  time.Time
+}
+
+// Holding returns who shares a bound. The holders are chosen by rendezvous hashing of the
+// name of the bound, the best of each region first.
+//
+// Of the instances that ever held the same part, each ended before the next one begins,
+// if news reaches every instance that is in touch within settleTime. Unlike MayHold, it
+// makes no exception for an instance that knows of no other one.
+func (m *Membership) Holding(bound string, now time.Time) Holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.spreads[bound]
+	if s == nil {
+		s = &spread{}
+		m.spreads[bound] = s
+		m.updateSpread(bound, s, m.changedAt)
+	}
+	s.askedAt = now
+	from := latest(s.since, m.mayHoldFrom).Add(takeOverWait)
+	return Holding{
+		Holders:  s.holders,
+		Parts:    m.parts(now),
+		IsHolder: s.isHolder && m.isListed && m.mayHoldSpread(now) && !now.Before(from),
+		From:     from,
+	}
+}
+
+// mayHoldSpread reports whether this instance has heard from the store or another instance
+// lately enough to hold a part. The lock is held.
+func (m *Membership) mayHoldSpread(now time.Time) bool {
+	return m.isInTouch(now) && now.Sub(m.confirmedAt) <= spreadLease
+}
+
+// parts returns the number of parts of a bound. A member that is gone counts until no
+// instance can still act on a view with it. The lock is held.
+func (m *Membership) parts(now time.Time) int {
+	if len(m.members) >= maxSpread {
+		return maxSpread
+	}
+	return min(maxSpread, max(len(m.members), m.count(settleTime+takeOverWait, now)))
+}
+
+// updateSpreads chooses the holders of all bounds again if the members have changed since a
+// version. All changes that were learned together count as one. The lock is held.
+func (m *Membership) updateSpreads(version uint64, now time.Time) {
+	if m.version.Load() == version {
+		return
+	}
+	for bound, s := range m.spreads {
+		if now.Sub(s.askedAt) > spreadMemory {
+			delete(m.spreads, bound)
+			continue
+		}
+		m.updateSpread(bound, s, now)
+	}
+}
+
+// updateSpread chooses the holders of a bound, as of a time. The lock is held.
+func (m *Membership) updateSpread(bound string, s *spread, at time.Time) {
+	s.holders = m.chooseSpread(bound)
+	isHolder := slices.ContainsFunc(s.holders, func(h Member) bool { return h.ID == m.config.Self.ID })
+	if isHolder && !s.isHolder {
+		s.since = at
+	}
+	s.isHolder = isHolder
+}
+
+// chooseSpread returns the first maxSpread members in the order of a bound, with the best
+// of each region before all others. The lock is held.
+func (m *Membership) chooseSpread(bound string) []Member {
+	all := make([]scoredMember, 0, len(m.members))
+	for _, state := range m.members {
+		all = append(all, scoredMember{Member: state.Member, score: pollencrank.RendezvousScore(bound, state.ID)})
+	}
+	slices.SortFunc(all, func(x, y scoredMember) int {
+		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID))
+	})
+	var firsts, rest []Member
+	hasRegion := map[string]bool{}
+	for _, member := range all {
+		if hasRegion[member.Region] {
+			rest = append(rest, member.Member)
+			continue
+		}
+		hasRegion[member.Region] = true
+		firsts = append(firsts, member.Member)
+	}
+	ordered := append(firsts, rest...)
+	return slices.Clone(ordered[:min(len(ordered), maxSpread)])
+}
