feat: package rationer keeps quotas of tenants over the whole fleet

Cause: each tenant has a quota for all instances together. Change: up to three holders, one a region, have a token bucket each; others borrow from the nearest. Tokens are valid for a share of the allowed excess, counted from before they were asked for, and renewed by requests that waited for longer.

--- a/outcome.go
+++ b/outcome.go
@@ -54,6 +54,7 @@
 	ReasonBodiesFull          Reason = "noRoomForBodies"
 	ReasonUnknownKey          Reason = "unknownKey"
 	ReasonQuotaSpent          Reason = "quotaSpent"
+	ReasonQuotaUnreachable    Reason = "quotaHoldersUnreachable"
 	ReasonAnswerInvalid       Reason = "invalidAnswer"
 )
 
--- /dev/null
+++ b/rationer/fleet_test.go
@@ -0,0 +1,335 @@
+package rationer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/apportioner"
+	_ "github.com/pollencrank/pollencrank/internal/seeded"
+	"github.com/pollencrank/pollencrank/rationer"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+const (
+	step = 50 * time.Millisecond
+	// newsDelay is the longest time after which an instance in touch learns of a change.
+	newsDelay = 1900 * time.Millisecond
+)
+
+var bounds = rationer.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
+// fleet is a simulated fleet in the virtual time of a test.
+type fleet struct {
+	random    *rand.Rand
+	instances []*instance
+	started   int
+	// lossRate is the share of messages that are lost, queueing the longest time that a
+	// request waits between its token and its sending.
+	lossRate float64
+	queueing time.Duration
+
+	mu sync.Mutex
+	// arrivals and refusals are the requests of each tenant.
+	arrivals map[string][]time.Time
+	refusals map[string]int
+	messages atomic.Int64
+	tenants  []router.Tenant
+	changes  []change
+	waits    []time.Duration
+}
+
+// change is a quota of the first tenant, and when it was set.
+type change struct {
+	at    time.Time
+	quota router.Quota
+}
+
+type instance struct {
+	apportioner.Member
+	*rationer.Rationer
+	f          *fleet
+	membership *apportioner.Membership
+	isListed   bool
+	isDead     atomic.Bool
+	isCutOff   atomic.Bool
+	// stalledUntil is the end of a freeze, suspended the time for which the clock stood
+	// still, both in nanoseconds.
+	stalledUntil, suspended atomic.Int64
+	// learnsAt is when the instance learns the members and the quotas next.
+	learnsAt time.Time
+	tenants  atomic.Pointer[map[string]*router.Tenant]
+}
+
+func newFleet(size int, tenants ...router.Tenant) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(1, 2)), tenants: tenants,
+		arrivals: map[string][]time.Time{}, refusals: map[string]int{},
+		changes: []change{{time.Now(), tenants[0].Quota}},
+	}
+	for range size {
+		f.start(fmt.Sprint("entry-", f.started))
+	}
+	for _, i := range f.instances {
+		i.learn()
+	}
+	f.run(8*time.Second, nil)
+	return f
+}
+
+func (f *fleet) start(id string) {
+	f.started++
+	i := &instance{f: f, isListed: true, Member: apportioner.Member{
+		ID: id, FailureDomain: fmt.Sprint("domain-", f.started%6), Region: fmt.Sprint("region-", f.started%3),
+	}}
+	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now()})
+	i.Rationer = rationer.New(rationer.Config{
+		Fleet: i.membership, Lender: i, Bounds: bounds, Log: slog.New(slog.DiscardHandler),
+		Find:      func(name string) *router.Tenant { return (*i.tenants.Load())[name] },
+		Suspended: func() time.Duration { return time.Duration(i.suspended.Load()) },
+		Now:       i.now,
+	})
+	i.loadTenants()
+	f.setInstances(append(slices.Clone(f.instances), i))
+	f.spreadNews()
+}
+
+func (f *fleet) setInstances(instances []*instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = instances
+}
+
+// find returns the last start of an instance, or nil.
+func (f *fleet) find(id string) *instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range slices.Backward(f.instances) {
+		if i.ID == id {
+			return i
+		}
+	}
+	return nil
+}
+
+func (i *instance) loadTenants() {
+	byName := map[string]*router.Tenant{}
+	for _, tenant := range i.f.tenants {
+		byName[tenant.Name] = &tenant
+	}
+	i.tenants.Store(&byName)
+}
+
+func (i *instance) now() time.Time { return time.Now().Add(-time.Duration(i.suspended.Load())) }
+
+// stall waits until the instance is not frozen.
+func (i *instance) stall() {
+	for until := time.Unix(0, i.stalledUntil.Load()); time.Now().Before(until); until = time.Unix(0, i.stalledUntil.Load()) {
+		time.Sleep(time.Until(until))
+	}
+}
+
+// spreadNews lets each instance learn of a change within newsDelay.
+func (f *fleet) spreadNews() {
+	for _, i := range f.instances {
+		if i.learnsAt.IsZero() {
+			i.learnsAt = time.Now().Add(time.Duration(f.draw() * float64(newsDelay)))
+		}
+	}
+}
+
+func (i *instance) learn() {
+	var members []apportioner.Member
+	for _, other := range i.f.instances {
+		if other.isListed {
+			members = append(members, other.Member)
+		}
+	}
+	i.loadTenants()
+	i.learnsAt = time.Time{}
+	i.membership.Set(members, i.now())
+}
+
+var errNoAnswer = errors.New("the instance does not answer")
+
+// Borrow implements rationer.Lender.
+func (i *instance) Borrow(ctx context.Context, holder, tenant string, count int) (rationer.Loan, error) {
+	lender := i.f.find(holder)
+	if lender == nil {
+		return rationer.Loan{}, errNoAnswer
+	}
+	i.f.messages.Add(1)
+	latency := time.Millisecond
+	if lender.Region != i.Region {
+		latency = 35 * time.Millisecond
+	}
+	answer := make(chan rationer.Loan, 1)
+	isRequestLost, isAnswerLost := i.f.isLost(), i.f.isLost()
+	go func() {
+		time.Sleep(latency)
+		lender.stall()
+		if lender.isDead.Load() || lender.isCutOff.Load() || i.isCutOff.Load() || isRequestLost {
+			return
+		}
+		loan, isHolder := lender.Lend(tenant, count)
+		lender.stall()
+		time.Sleep(latency)
+		i.stall()
+		if isHolder && !isAnswerLost {
+			answer <- loan
+		}
+	}()
+	select {
+	case loan := <-answer:
+		return loan, nil
+	case <-ctx.Done():
+		return rationer.Loan{}, errNoAnswer
+	}
+}
+
+func (f *fleet) isLost() bool { return f.draw() < f.lossRate }
+
+// draw returns a random number below 1.
+func (f *fleet) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+// run lets time pass. send is called for every instance and step, and sends requests.
+func (f *fleet) run(span time.Duration, send func(i *instance)) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(step) {
+		f.setInstances(slices.DeleteFunc(slices.Clone(f.instances), func(i *instance) bool { return i.isDead.Load() }))
+		for _, i := range f.instances {
+			if time.Now().UnixNano() < i.stalledUntil.Load() {
+				continue
+			}
+			i.advance()
+			if send != nil {
+				send(i)
+			}
+		}
+	}
+}
+
+// finish waits until no request can be under way.
+func (f *fleet) finish() {
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+func (i *instance) advance() {
+	if !i.isCutOff.Load() {
+		if !i.learnsAt.IsZero() && !time.Now().Before(i.learnsAt) {
+			i.learn()
+		}
+		i.membership.Confirm(i.now())
+	}
+	i.membership.Sweep(i.now())
+	i.Sweep()
+}
+
+// request sends a request of a caller, at some time within the step.
+func (i *instance) request(tenant string) {
+	f := i.f
+	delay := time.Duration(f.draw() * float64(step))
+	queueing := time.Duration(f.draw() * float64(f.queueing))
+	go func() {
+		time.Sleep(delay)
+		i.stall()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		began := time.Now()
+		known := (*i.tenants.Load())[tenant]
+		token, err := i.Take(ctx, known)
+		waited := time.Since(began)
+		if err == nil {
+			time.Sleep(queueing)
+			i.stall()
+			err = i.Renew(ctx, known, &token)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if err != nil || i.isDead.Load() {
+			f.refusals[tenant]++
+			return
+		}
+		f.arrivals[tenant] = append(f.arrivals[tenant], time.Now())
+		f.waits = append(f.waits, waited)
+	}()
+}
+
+// sendRate returns a function for run that sends requests of a tenant at a rate, at
+// instances for which isChosen reports true.
+func (f *fleet) sendRate(tenant string, perSecond float64, isChosen func(i *instance) bool) func(*instance) {
+	chosen, countedAt := 0, time.Time{}
+	return func(i *instance) {
+		if now := time.Now(); !now.Equal(countedAt) {
+			chosen, countedAt = 0, now
+			for _, other := range f.instances {
+				if isChosen(other) {
+					chosen++
+				}
+			}
+		}
+		if !isChosen(i) {
+			return
+		}
+		expected := perSecond * step.Seconds() / float64(chosen)
+		for ; expected > f.draw(); expected-- {
+			i.request(tenant)
+		}
+	}
+}
+
+func everywhere(*instance) bool { return true }
+
+// requireBound checks every window. A lower quota counts for windows that begin after all
+// instances in touch have learned of it.
+func (f *fleet) requireBound(t require.TestingT) {
+	arrivals := slices.SortedFunc(slices.Values(f.arrivals[f.tenants[0].Name]), time.Time.Compare)
+	first := 0
+	for last, at := range arrivals {
+		for at.Sub(arrivals[first]) >= bounds.Window {
+			first++
+		}
+		allowed := 0.0
+		for c, change := range f.changes {
+			isOver := c+1 < len(f.changes) && arrivals[first].After(f.changes[c+1].at.Add(newsDelay))
+			if isOver || change.at.After(at) {
+				continue
+			}
+			within := change.quota.PerSecond*bounds.Window.Seconds() + change.quota.Burst
+			allowed = max(allowed, within*(1+bounds.Excess)+bounds.Slack)
+		}
+		if count := float64(last - first + 1); count > allowed {
+			require.LessOrEqual(t, count, allowed, "%v in the window to %v", f.tenants[0].Quota, at)
+		}
+	}
+}
+
+func tenantWith(perSecond, burst float64) router.Tenant {
+	return router.Tenant{Name: "tenant-1", Quota: router.Quota{PerSecond: perSecond, Burst: burst}}
+}
+
+// served returns the number of requests of a tenant that arrived since a time.
+func (f *fleet) served(tenant string, since time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, at := range f.arrivals[tenant] {
+		if !at.Before(since) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/rationer/rationer.go
@@ -0,0 +1,280 @@
+// Package rationer keeps the quotas of tenants over the whole fleet.
+//
+// Up to three instances hold an equal part of a tenant's quota each, as a token bucket;
+// apportioner.Membership says which ones, and since when. Every request of the tenant takes
+// a token of exactly one bucket. A holder takes it locally. The other instances borrow it
+// from the nearest holder that is neither spent nor silent, and a holder whose own part is
+// spent borrows from the other holders.
+//
+// A token is valid for a short time, counted from before it was asked for. A request that
+// waits for longer until it is sent takes another one. docs/design/quotas.md proves the
+// bound that follows for all instances together.
+//
+// # Usage
+//
+//	r := rationer.New(rationer.Config{Fleet: membership, Lender: peers, Find: table.FindTenant, Bounds: bounds})
+//	token, err := r.Take(ctx, tenant)
+//	...
+//	err = r.Renew(ctx, tenant, &token)
+//	if err == nil {
+//		// The request may be sent to a server now.
+//	}
+package rationer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencrank/pollencrank/apportioner"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+const (
+	// borrowTimeout limits the time to borrow from one holder.
+	borrowTimeout = 200 * time.Millisecond
+	// silentPause is how long a holder is not asked after it did not answer.
+	silentPause = 700 * time.Millisecond
+	// maxCount is the largest number of tokens in one loan.
+	maxCount = 256
+	// minSuspension is the suspension of the machine from which on this instance forgets
+	// what it holds. Shorter ones cannot be told from the error of the measurement.
+	minSuspension = 50 * time.Millisecond
+	// accountMemory is how long the state of a tenant is kept that sends nothing. It is
+	// longer than any window in which a quota is counted.
+	accountMemory = 10 * time.Minute
+	// spentMemory is the time without a refusal after which a quota counts as free again.
+	spentMemory = 5 * time.Second
+)
+
+// Fleet says which instances hold a part of a quota. apportioner.Membership implements it.
+type Fleet interface {
+	Holding(bound string, now time.Time) apportioner.Holding
+	// Interrupt records that the machine was suspended.
+	Interrupt(now time.Time)
+	Self() apportioner.Member
+}
+
+// Loan is the answer of a holder to a request for tokens.
+type Loan struct {
+	// Granted is the number of tokens.
+	Granted int
+	// RetryAfter is the time until the next token may be there, if fewer tokens than asked
+	// for are granted.
+	RetryAfter time.Duration
+}
+
+// Lender requests tokens from other instances.
+type Lender interface {
+	Borrow(ctx context.Context, holder, tenant string, count int) (Loan, error)
+}
+
+// Config is the configuration of a Rationer.
+type Config struct {
+	Fleet  Fleet
+	Lender Lender
+	// Find returns the tenant with a name in the configuration in force, or nil.
+	Find   func(name string) *router.Tenant
+	Bounds Bounds
+	// Suspended, if set, returns the total time for which the machine has been suspended.
+	Suspended func() time.Duration
+	Log       *slog.Logger
+	// Now is the clock. The default is time.Now.
+	Now func() time.Time
+}
+
+// Rationer keeps this instance's parts of the quotas. It is safe for concurrent use.
+type Rationer struct {
+	config Config
+	rules  atomic.Pointer[rules]
+	// suspended is the total suspension of the machine when it was last looked at.
+	suspended atomic.Int64
+
+	mu       sync.RWMutex
+	accounts map[string]*account
+}
+
+// New returns a Rationer.
+func New(config Config) *Rationer {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Suspended == nil {
+		config.Suspended = func() time.Duration { return 0 }
+	}
+	r := &Rationer{config: config, accounts: map[string]*account{}}
+	r.SetBounds(config.Bounds)
+	return r
+}
+
+// SetBounds changes the bounds in force.
+func (r *Rationer) SetBounds(bounds Bounds) {
+	rules := newRules(bounds)
+	r.rules.Store(&rules)
+}
+
+// Token permits one request to be sent. The zero value is the token of a request without a
+// quota.
+type Token struct {
+	// expiresAt is on the clock that includes suspensions of the machine.
+	expiresAt time.Time
+}
+
+// Take takes a token for one request of a tenant. The error is a pollencrank.NotRunError.
+func (r *Rationer) Take(ctx context.Context, tenant *router.Tenant) (Token, error) {
+	if tenant == nil || !isLimited(tenant.Quota) {
+		return Token{}, nil
+	}
+	a := r.accountOf(tenant.Name)
+	a.countDemand(r.config.Now())
+	var tried [maxTries]string
+	for tries := 0; ; tries++ {
+		now, clock := r.read()
+		holding := r.config.Fleet.Holding(tenant.Name, now)
+		a.mu.Lock()
+		if a.takeOwn(r.ownPart(tenant, holding), holding, now) {
+			a.mu.Unlock()
+			return Token{expiresAt: clock.Add(r.rules.Load().lifetime)}, nil
+		}
+		if expiresAt, isThere := a.takeStock(clock); isThere {
+			a.mu.Unlock()
+			return Token{expiresAt: expiresAt}, nil
+		}
+		holder := a.chooseHolder(holding, tried[:min(tries, maxTries)], r.config.Fleet.Self(), now)
+		if holder == nil || tries == maxTries {
+			err := a.refuse(r.ownPart(tenant, holding), holding, tenant.Quota, now)
+			a.mu.Unlock()
+			r.logSpent(a, tenant, err)
+			return Token{}, err
+		}
+		tried[tries] = holder.id
+		ask := r.join(a, holder)
+		a.mu.Unlock()
+		expiresAt, isGranted := ask.wait(ctx)
+		if isGranted {
+			return Token{expiresAt: expiresAt}, nil
+		}
+		if ctx.Err() != nil {
+			return Token{}, abandoned(r.config.Now())
+		}
+	}
+}
+
+// maxTries is the number of holders that are asked for one request.
+const maxTries = 3
+
+// Renew has to be called right before a request is sent. It takes another token if the
+// request's token is no longer valid, because the request has waited.
+func (r *Rationer) Renew(ctx context.Context, tenant *router.Tenant, token *Token) error {
+	for !token.expiresAt.IsZero() {
+		if _, clock := r.read(); clock.Before(token.expiresAt) {
+			return nil
+		}
+		next, err := r.Take(ctx, tenant)
+		if err != nil {
+			return err
+		}
+		r.accountOf(tenant.Name).metrics.renewed.Inc()
+		*token = next
+	}
+	return nil
+}
+
+// Check returns the error with which Take would refuse a request at once, or nil.
+func (r *Rationer) Check(tenant *router.Tenant) error {
+	if tenant == nil || !isLimited(tenant.Quota) {
+		return nil
+	}
+	now, clock := r.read()
+	holding := r.config.Fleet.Holding(tenant.Name, now)
+	a := r.accountOf(tenant.Name)
+	a.mu.Lock()
+	part := r.ownPart(tenant, holding)
+	if a.hasOwn(part, holding, now) || a.stocked(clock) != nil || a.chooseHolder(holding, nil, r.config.Fleet.Self(), now) != nil {
+		a.mu.Unlock()
+		return nil
+	}
+	err := a.refuse(part, holding, tenant.Quota, now)
+	a.mu.Unlock()
+	r.logSpent(a, tenant, err)
+	return err
+}
+
+// Lend grants tokens of this instance's part to another instance. An instance that holds no
+// part, or that does not know the tenant, reports false.
+func (r *Rationer) Lend(name string, count int) (Loan, bool) {
+	tenant := r.config.Find(name)
+	if tenant == nil || !isLimited(tenant.Quota) {
+		return Loan{}, false
+	}
+	now, _ := r.read()
+	holding := r.config.Fleet.Holding(name, now)
+	if !holding.IsHolder || count <= 0 {
+		return Loan{}, false
+	}
+	a := r.accountOf(name)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.fill(r.ownPart(tenant, holding), holding.From, now)
+	loan := a.bucket.lend(min(count, maxCount), now)
+	a.usedAt = now
+	a.metrics.lent.Add(loan.Granted)
+	return loan, true
+}
+
+// ownPart returns the size of a holder's part of a tenant's quota in force, which may be
+// newer than the request's.
+func (r *Rationer) ownPart(tenant *router.Tenant, holding apportioner.Holding) part {
+	if current := r.config.Find(tenant.Name); current != nil {
+		tenant = current
+	}
+	return r.rules.Load().partOf(tenant.Quota, holding.Parts)
+}
+
+// read returns the time, and the time on a clock that includes suspensions of the machine.
+// After a suspension this instance holds nothing until it has heard of the others again.
+func (r *Rationer) read() (now, clock time.Time) {
+	now = r.config.Now()
+	suspended := r.config.Suspended()
+	if known := r.suspended.Load(); suspended > time.Duration(known)+minSuspension && r.suspended.CompareAndSwap(known, int64(suspended)) {
+		r.config.Fleet.Interrupt(now)
+	}
+	return now, now.Add(suspended)
+}
+
+// accountOf returns the account of a tenant.
+func (r *Rationer) accountOf(name string) *account {
+	r.mu.RLock()
+	a := r.accounts[name]
+	r.mu.RUnlock()
+	if a != nil {
+		return a
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.accounts[name] == nil {
+		r.accounts[name] = newAccount(name, r.config.Now())
+	}
+	return r.accounts[name]
+}
+
+// Sweep forgets the tenants that have sent nothing for a while, and logs the end of
+// refusals. It has to be called periodically.
+func (r *Rationer) Sweep() {
+	now, _ := r.read()
+	r.mu.Lock()
+	accounts := make([]*account, 0, len(r.accounts))
+	for name, a := range r.accounts {
+		if a.isIdle(now) {
+			delete(r.accounts, name)
+			continue
+		}
+		accounts = append(accounts, a)
+	}
+	r.mu.Unlock()
+	for _, a := range accounts {
+		r.logFree(a, now)
+	}
+}
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -76,6 +76,9 @@
 	EventCutOff                Event = 1925
 	EventCutOffEnded           Event = 1926
 	EventRerouteFailed         Event = 1927
+	EventQuotaSpent            Event = 1941
+	EventQuotaFree             Event = 1942
+	EventQuotaLoanFailed       Event = 1943
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -147,6 +150,9 @@
 		{EventCutOff, slog.LevelWarn, "This instance has lost its links to all servers of a service; requests for it go through other instances."},
 		{EventCutOffEnded, slog.LevelInfo, "This instance reaches the servers of that service again."},
 		{EventRerouteFailed, slog.LevelInfo, "Another instance did not take a request of this one, which is cut off from the servers; the next one is asked."},
+		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
+		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
+		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
 	}
 }
 
