--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/rationer"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -112,6 +113,11 @@
 			Extra:  settings.Bounds.RetryExtra,
 			Window: settings.Bounds.RetryWindow,
 		},
+		Quotas: rationer.Bounds{
+			Window: settings.Bounds.QuotaWindow,
+			Excess: settings.Bounds.QuotaExcess,
+			Slack:  settings.Bounds.QuotaSlack,
+		},
 		StopGrace:      settings.Bounds.StopGrace,
 		LookupLifetime: settings.Bounds.LookupLifetime,
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -129,6 +129,9 @@
 	// BodyFailure, if set, returns the error with which reading the request's Body
 	// failed, or nil.
 	BodyFailure func() error
+	// BeforeSend, if set, is called right before each attempt. The request is not sent if it
+	// returns an error, which is a NotRunError.
+	BeforeSend func(ctx context.Context) error
 	// Course is filled in by Forward.
 	Course Course
 
@@ -220,6 +223,9 @@
 	if err == nil && call.sent > 0 {
 		err = f.withdraw(call, now)
 	}
+	if err == nil {
+		err = call.beforeSend(ctx)
+	}
 	if err != nil {
 		return nil, call.giveUp(err)
 	}
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -184,6 +184,9 @@
 	if call.hasWholeBody() {
 		request.NewBody = call.newRequest
 	}
+	if err := call.beforeSend(ctx); err != nil {
+		return nil, call.giveUp(err)
+	}
 	call.isRerouted = true
 	if call.tries() > 0 {
 		f.config.Log.Info("the request goes through another instance", recorder.EventRequestRetried.Attr(),
--- a/forwarder/tenant.go
+++ b/forwarder/tenant.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "context"
+
 // Priority is the rank of the call; 0 is the most urgent. That of the tenant goes before
 // that of the route.
 func (c *Call) Priority() int {
@@ -14,3 +16,11 @@
 func (c *Call) allowsRegion(region string) bool {
 	return c.Route.AllowsRegion(region) && c.Tenant.AllowsRegion(region)
 }
+
+// beforeSend calls BeforeSend, if it is set.
+func (c *Call) beforeSend(ctx context.Context) error {
+	if c.BeforeSend == nil {
+		return nil
+	}
+	return c.BeforeSend(ctx)
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -30,6 +30,7 @@
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/pipeliner"
 	"github.com/pollencrank/pollencrank/prober"
+	"github.com/pollencrank/pollencrank/rationer"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/relayer"
@@ -103,6 +104,8 @@
 type Bounds struct {
 	// Retries is the retry budget of the whole fleet.
 	Retries limiter.WindowConfig
+	// Quotas bound the requests of each tenant of all instances together.
+	Quotas rationer.Bounds
 	// StopGrace is the time from the signal to stop until the platform kills the
 	// process.
 	StopGrace time.Duration
@@ -122,6 +125,7 @@
 	// membership says among which instances the bounds of the whole fleet are divided.
 	membership  *apportioner.Membership
 	apportioner *apportioner.Apportioner
+	rationer    *rationer.Rationer
 	budgets     *forwarder.Budgets
 	distances   *forwarder.Distances
 	isolator    *isolator.Isolator
@@ -187,6 +191,7 @@
 		Retries: config.Bounds.Retries, Membership: h.membership, MinInstances: len(config.RegionOf),
 	})
 	h.apportioner = apportioner.New(apportioner.Config{Membership: h.membership, Lender: lender{h}, Log: config.Log})
+	h.rationer = h.newRationer()
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
 	h.isolator = isolator.New(isolator.Config{})
@@ -205,6 +210,7 @@
 		Table:       h.table.Load,
 		Ready:       h.isConfigured,
 		Forwarder:   h.forwarder,
+		Quotas:      h.rationer,
 		Dialect:     config.Dialect,
 		SampleEvery: config.SampleEvery,
 		Log:         config.Log,
@@ -217,6 +223,7 @@
 func (h *Hoster) SetBounds(bounds Bounds) {
 	h.bounds.Store(&bounds)
 	h.budgets.SetConfig(bounds.Retries)
+	h.rationer.SetBounds(bounds.Quotas)
 }
 
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
--- a/hoster/limits.go
+++ b/hoster/limits.go
@@ -171,8 +171,8 @@
 		Server: limit.Server.ID, Incarnation: limit.Server.Incarnation, Rank: rank,
 		Limit: encodeLimit(b.Limit(), time.Now()),
 	}
-	answer, err := l.post(ctx, peers[i], request)
-	if err != nil {
+	var answer loanAnswer
+	if err := l.h.postToPeer(ctx, peers[i], loansPath, request, &answer); err != nil {
 		return apportioner.Loan{}, err
 	}
 	now := time.Now()
@@ -191,24 +191,23 @@
 	return apportioner.Loan{RetryAt: now.Add(pause)}, nil
 }
 
-func (l lender) post(ctx context.Context, peer namer.Instance, request loanRequest) (loanAnswer, error) {
-	var answer loanAnswer
-	body, err := json.Marshal(request)
+// postToPeer sends a message to another instance and decodes its answer.
+func (h *Hoster) postToPeer(ctx context.Context, peer namer.Instance, path string, message, answer any) error {
+	body, err := json.Marshal(message)
 	if err != nil {
-		return answer, err
+		return err
 	}
-	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+loansPath, bytes.NewReader(body))
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+path, bytes.NewReader(body))
 	if err != nil {
-		return answer, err
+		return err
 	}
-	response, err := l.h.peers.Do(outgoing)
+	response, err := h.peers.Do(outgoing)
 	if err != nil {
-		return answer, err
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return answer, fmt.Errorf("instance %s: status %d", peer.ID, response.StatusCode)
+		return fmt.Errorf("instance %s: status %d", peer.ID, response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxLoanBytes)).Decode(&answer)
-	return answer, err
+	return json.NewDecoder(io.LimitReader(response.Body, maxLoanBytes)).Decode(answer)
 }
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -204,6 +204,8 @@
 		return nil
 	})
 	routes.POST(loansPath, h.serveLoan)
+	routes.GET(quotasPath, h.serveQuotas)
+	routes.POST(quotaLoansPath, h.serveQuotaLoan)
 	all := http.NewServeMux()
 	all.Handle("/", routes)
 	all.Handle(h.replicator.Handler())
@@ -278,6 +280,7 @@
 			h.membership.Confirm((storeAccess{h}).Health().AnsweredAt)
 			h.membership.Sweep(now)
 			h.apportioner.Sweep(h.isLimited)
+			h.rationer.Sweep()
 		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -85,6 +85,8 @@
 	Ready     <-chan struct{}
 	Forwarder Forwarder
 	Dialect   Dialect
+	// Quotas, if set, keeps the quotas of tenants.
+	Quotas Quotas
 	// Stager buffers the bodies of requests. The default is a Stager with default
 	// bounds.
 	Stager *stager.Stager
@@ -174,6 +176,9 @@
 	if err == nil && hop != nil {
 		err = r.admitRerouted(call, hop, started)
 	}
+	if err == nil {
+		err = r.checkQuota(call)
+	}
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
 		return
@@ -186,7 +191,7 @@
 	defer body.release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
 	defer cancel()
-	answer, err := r.config.Forwarder.Forward(ctx, call)
+	answer, err := r.forward(ctx, call)
 	if err != nil {
 		body.takeBack()
 		r.writeError(w, call, headers, err, started)
@@ -205,6 +210,14 @@
 	r.recordAnswer(call, answer, started)
 }
 
+// forward forwards a call within the quota of its tenant.
+func (r *Relayer) forward(ctx context.Context, call *forwarder.Call) (*pollencrank.Answer, error) {
+	if err := r.takeQuota(ctx, call); err != nil {
+		return nil, err
+	}
+	return r.config.Forwarder.Forward(ctx, call)
+}
+
 // awaitReady waits until an instance that has just started can serve requests, for at
 // most maxReadyWait and half of the caller's timeout.
 func (r *Relayer) awaitReady(ctx context.Context, headers CallerHeaders) {
@@ -363,6 +376,8 @@
 		return http.StatusRequestEntityTooLarge
 	case pollencrank.ReasonMalformed, pollencrank.ReasonBodyBroken:
 		return http.StatusBadRequest
+	case pollencrank.ReasonQuotaSpent:
+		return http.StatusTooManyRequests
 	case pollencrank.ReasonBodyTimeout:
 		return http.StatusRequestTimeout
 	}
