--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -70,6 +70,9 @@
 	confirmedAt time.Time
 	// mayHoldFrom is from when on this instance may hold shares.
 	mayHoldFrom time.Time
+	// listedFrom is mayHoldFrom without regard to confirmations. sweptAt is when Sweep was
+	// last called.
+	listedFrom, sweptAt time.Time
 	// holdings caches which shares this instance holds, by the name of the bound.
 	holdings map[string]holding
 	// spreads holds the bounds that were asked for with Holding, by their names.
@@ -106,6 +109,7 @@
 
 		confirmedAt: config.StartedAt,
 		mayHoldFrom: config.StartedAt.Add(settleTime),
+		listedFrom:  config.StartedAt.Add(settleTime),
 	}
 }
 
@@ -134,7 +138,7 @@
 // setListed records whether this instance is listed. The lock is held.
 func (m *Membership) setListed(isListed bool, now time.Time) {
 	if isListed && !m.isListed {
-		m.mayHoldFrom = latest(m.mayHoldFrom, now.Add(settleTime))
+		m.waitToHold(now)
 	}
 	m.isListed = isListed
 }
@@ -157,7 +161,13 @@
 func (m *Membership) Interrupt(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.waitToHold(now)
+}
+
+// waitToHold lets this instance hold nothing until news has settled. The lock is held.
+func (m *Membership) waitToHold(now time.Time) {
 	m.mayHoldFrom = latest(m.mayHoldFrom, now.Add(settleTime))
+	m.listedFrom = latest(m.listedFrom, now.Add(settleTime))
 }
 
 // MayHold reports whether this instance may hold shares of bounds.
@@ -268,6 +278,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer m.updateSpreads(m.version.Load(), now)
+	if !m.sweptAt.IsZero() && now.Sub(m.sweptAt) > contactLease {
+		// The process stood still.
+		m.waitToHold(now)
+	}
+	m.sweptAt = now
 	m.removeGone(now)
 }
 
--- a/apportioner/spread.go
+++ b/apportioner/spread.go
@@ -49,8 +49,8 @@
 // name of the bound, the best of each region first.
 //
 // Of the instances that ever held the same part, each ended before the next one begins,
-// if news reaches every instance that is in touch within settleTime. Unlike MayHold, it
-// makes no exception for an instance that knows of no other one.
+// if news reaches every instance that is in touch within settleTime. The exception is an
+// instance that knows of no other one: it hears of nobody, and holds without that.
 func (m *Membership) Holding(bound string, now time.Time) Holding {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -61,7 +61,11 @@
 		m.updateSpread(bound, s, m.changedAt)
 	}
 	s.askedAt = now
-	from := latest(s.since, m.mayHoldFrom).Add(takeOverWait)
+	base := m.mayHoldFrom
+	if m.isAlone() {
+		base = m.listedFrom
+	}
+	from := latest(s.since, base).Add(takeOverWait)
 	return Holding{
 		Holders:  s.holders,
 		Parts:    m.parts(now),
@@ -71,11 +75,17 @@
 }
 
 // mayHoldSpread reports whether this instance has heard from the store or another instance
-// lately enough to hold a part. The lock is held.
+// lately enough to hold a part. One that is alone must have run. The lock is held.
 func (m *Membership) mayHoldSpread(now time.Time) bool {
+	if m.isAlone() {
+		return now.Sub(m.sweptAt) <= spreadLease
+	}
 	return m.isInTouch(now) && now.Sub(m.confirmedAt) <= spreadLease
 }
 
+// isAlone reports whether this instance knows of no other one. The lock is held.
+func (m *Membership) isAlone() bool { return len(m.members) == 1 }
+
 // parts returns the number of parts of a bound. A member that is gone counts until no
 // instance can still act on a view with it. The lock is held.
 func (m *Membership) parts(now time.Time) int {
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -23,6 +23,7 @@
 	"github.com/pollencrank/pollencrank/limiter"
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/platform"
+	"github.com/pollencrank/pollencrank/rationer"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
 )
@@ -276,6 +277,7 @@
 	}
 	config.Bounds = hoster.Bounds{
 		Retries:   limiter.WindowConfig{Share: 0.2, Extra: 50, Window: 10 * time.Second},
+		Quotas:    rationer.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 		StopGrace: 2 * time.Second, LookupLifetime: 5 * time.Second,
 	}
 	config.Log = slog.New(slog.NewJSONHandler(e.log, nil))
--- a/hoster/limits.go
+++ b/hoster/limits.go
@@ -201,6 +201,8 @@
 	if err != nil {
 		return err
 	}
+	// An empty value leaves the header out.
+	outgoing.Header.Set("User-Agent", "")
 	response, err := h.peers.Do(outgoing)
 	if err != nil {
 		return err
--- a/hoster/quotas.go
+++ b/hoster/quotas.go
@@ -98,6 +98,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return nil
 	}
+	// These headers would be most of the answer.
+	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
 	const microsecond = 1e-3
 	pause := math.Round(loan.RetryAfter.Seconds()*1e3/microsecond) * microsecond
 	return json.NewEncoder(w).Encode(quotaAnswer{Granted: loan.Granted, RetryAfterMs: pause})
--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -98,6 +98,10 @@
 			i.isDead.Store(true)
 		}
 	case "cut":
+		if i.membership.Count(0, i.now()) == 1 {
+			// An instance that knows of no other one holds all parts.
+			break
+		}
 		// An instance may be removed before it is cut off itself.
 		i.isListed = false
 		f.spreadNews()
--- a/rationer/bucket.go
+++ b/rationer/bucket.go
@@ -25,7 +25,10 @@
 // time from which it is held.
 func (b *bucket) fill(part part, from, now time.Time) {
 	if !b.from.Equal(from) {
-		b.tokens, b.filledAt, b.from = 0, from, from
+		b.tokens, b.from = 0, from
+		if from.After(b.filledAt) {
+			b.filledAt = from
+		}
 	}
 	b.part = part
 	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
