--- a/cmd/pollencrank/main.go
+++ b/cmd/pollencrank/main.go
@@ -32,6 +32,7 @@
 	Times    timesCommand    `cmd:"" help:"Show where the time of requests went, by route, region and second, from the logs of instances."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in for the store or a backend server, to try entries as separate processes."`
 	Soak     soakCommand     `cmd:"" help:"Run hosted entries as processes, inject faults from outside, and check the promises."`
+	Quotas   quotasCommand   `cmd:"" help:"Show the quotas of tenants, who holds them, and what one hosted instance holds."`
 	Measure  measureCommand  `cmd:"" help:"Rerun the measurements of docs/CAPACITY.md."`
 }
 
