--- a/apportioner/spread_test.go
+++ b/apportioner/spread_test.go
@@ -106,3 +106,31 @@
 	m.Interrupt(start.Add(2 * time.Second))
 	require.False(t, m.Holding("tenant-1", start.Add(2*time.Second)).IsHolder, "it does not know what happened meanwhile")
 }
+
+// A part grows only when nobody can act on the earlier view any more.
+func TestPartsGrowLate(t *testing.T) {
+	members := regionMembers(2)
+	m := settled(members[0], members)
+	require.Equal(t, 2, m.Holding("tenant-1", start).Parts)
+	m.Set(members[:1], start)
+	for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += time.Second {
+		m.Sweep(start.Add(elapsed))
+		require.Equal(t, 2, m.Holding("tenant-1", start.Add(elapsed)).Parts)
+	}
+	m.Sweep(start.Add(4 * time.Second))
+	require.Equal(t, 1, m.Holding("tenant-1", start.Add(4*time.Second)).Parts)
+}
+
+// Guards against a process that stood still and goes on as if it were alone.
+func TestAnInstanceThatStoodStillHoldsNothing(t *testing.T) {
+	members := regionMembers(1)
+	m := settled(members[0], members)
+	for elapsed := time.Duration(0); elapsed < 4*time.Second; elapsed += time.Second {
+		m.Sweep(start.Add(elapsed))
+	}
+	last := start.Add(3 * time.Second)
+	require.True(t, m.Holding("tenant-1", last).IsHolder)
+	require.False(t, m.Holding("tenant-1", last.Add(4*time.Second)).IsHolder, "it has not run")
+	m.Sweep(last.Add(4 * time.Second))
+	require.False(t, m.Holding("tenant-1", last.Add(4*time.Second)).IsHolder, "others may hold by now")
+}
--- a/rationer/use_test.go
+++ b/rationer/use_test.go
@@ -224,3 +224,28 @@
 		}
 	})
 }
+
+// The validity of a borrowed token counts from before it was asked for.
+func TestABorrowedTokenIsNoYoungerThanItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(69, tenantWith(100, 50))
+		holders := f.holders()
+		borrower, tenant := f.instances[0], (*f.instances[0].tenants.Load())["tenant-1"]
+		require.NotContains(t, holders, borrower)
+		for _, i := range holders {
+			i.stalledUntil.Store(time.Now().Add(150 * time.Millisecond).UnixNano())
+		}
+		began := time.Now()
+		token, err := borrower.Take(t.Context(), tenant)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, time.Since(began), 150*time.Millisecond)
+		messages := f.messages.Load()
+		time.Sleep(time.Until(began.Add(390 * time.Millisecond)))
+		require.NoError(t, borrower.Renew(t.Context(), tenant, &token))
+		require.Equal(t, messages, f.messages.Load())
+		time.Sleep(20 * time.Millisecond)
+		require.NoError(t, borrower.Renew(t.Context(), tenant, &token))
+		require.Greater(t, f.messages.Load(), messages, "another one is borrowed")
+		f.finish()
+	})
+}
