--- a/apportioner/spread.go
+++ b/apportioner/spread.go
@@ -123,23 +123,42 @@
 // chooseSpread returns the first maxSpread members in the order of a bound, with the best
 // of each region before all others. The lock is held.
 func (m *Membership) chooseSpread(bound string) []Member {
-	all := make([]scoredMember, 0, len(m.members))
+	var firsts, best []scoredMember
 	for _, state := range m.members {
-		all = append(all, scoredMember{Member: state.Member, score: pollencrank.RendezvousScore(bound, state.ID)})
+		member := scoredMember{Member: state.Member, score: pollencrank.RendezvousScore(bound, state.ID)}
+		best = insertScored(best, member)
+		region := slices.IndexFunc(firsts, func(f scoredMember) bool { return f.Region == member.Region })
+		switch {
+		case region < 0:
+			firsts = append(firsts, member)
+		case compareScored(member, firsts[region]) < 0:
+			firsts[region] = member
+		}
 	}
-	slices.SortFunc(all, func(x, y scoredMember) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID))
-	})
-	var firsts, rest []Member
-	hasRegion := map[string]bool{}
-	for _, member := range all {
-		if hasRegion[member.Region] {
-			rest = append(rest, member.Member)
-			continue
+	slices.SortFunc(firsts, compareScored)
+	for _, member := range best {
+		if !slices.Contains(firsts, member) {
+			firsts = append(firsts, member)
 		}
-		hasRegion[member.Region] = true
-		firsts = append(firsts, member.Member)
 	}
-	ordered := append(firsts, rest...)
-	return slices.Clone(ordered[:min(len(ordered), maxSpread)])
+	var chosen []Member
+	for _, member := range firsts[:min(len(firsts), maxSpread)] {
+		chosen = append(chosen, member.Member)
+	}
+	return chosen
+}
+
+// insertScored inserts a member into the first maxSpread ones in order.
+func insertScored(best []scoredMember, member scoredMember) []scoredMember {
+	i, _ := slices.BinarySearchFunc(best, member, compareScored)
+	if i >= maxSpread {
+		return best
+	}
+	best = slices.Insert(best, i, member)
+	return best[:min(len(best), maxSpread)]
+}
+
+// compareScored orders members by descending scores.
+func compareScored(x, y scoredMember) int {
+	return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID))
 }
--- a/apportioner/spread_test.go
+++ b/apportioner/spread_test.go
@@ -134,3 +134,20 @@
 	m.Sweep(last.Add(4 * time.Second))
 	require.False(t, m.Holding("tenant-1", last.Add(4*time.Second)).IsHolder, "others may hold by now")
 }
+
+// With fewer regions than parts, the rest of the holders follow by their scores.
+func TestHoldersOfFewRegionsDiffer(t *testing.T) {
+	for regions := range 3 {
+		members := regionMembers(9)
+		for i := range members {
+			members[i].Region = fmt.Sprint(i % (regions + 1))
+		}
+		held := settled(members[0], members).Holding("tenant-1", start)
+		chosen, chosenRegions := map[string]bool{}, map[string]bool{}
+		for _, holder := range held.Holders {
+			chosen[holder.ID], chosenRegions[holder.Region] = true, true
+		}
+		require.Len(t, chosen, 3)
+		require.Len(t, chosenRegions, regions+1)
+	}
+}
