--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -78,6 +78,8 @@
 	// an instance was last restarted, frozen or cut off.
 	limits          map[string]*namedLimit
 	limitsExcusedAt time.Time
+	// tenants holds the quotas of tenants and what ran of them, by name.
+	tenants map[string]*tenantRuns
 	// instances are all instances, and comparison compares one that is cut off from all
 	// servers with the others.
 	instances  []*process
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -191,8 +191,8 @@
 	p.environment, err = imitator.WriteSettings(s.config.Folder, imitator.InstanceConfig{
 		ID: p.id, IP: p.ip, FailureDomain: p.domain, RegionOf: s.regionOf, StoreAddress: link.address(),
 		Seeds: []string{s.ip(instanceKind, 0), s.ip(instanceKind, 1)},
-		Bounds: []string{"grace=" + stopGrace.String(), "ttl_max=5s", "retry-budget=0.2", "budget-extra=50",
-			"budget-window=10s"},
+		Bounds: append([]string{"grace=" + stopGrace.String(), "ttl_max=5s", "retry-budget=0.2", "budget-extra=50",
+			"budget-window=10s"}, quotaBounds...),
 	})
 	if err != nil {
 		return err
