fix: an instance that stops holds no part of a quota

Cause: at a planned stop an instance hears no news of the members any more, but still hears from the store, so it held its parts beside its successors. Change: Rationer.Stop; it goes on borrowing. Result: TestAStoppingInstanceOnlyBorrows; the property with draining instances.

--- a/hoster/quotas.go
+++ b/hoster/quotas.go
@@ -89,11 +89,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return nil
 	}
-	// An instance that stops hears no news of the members any more.
-	loan, isHolder := rationer.Loan{}, false
-	if !h.isStopping.Load() {
-		loan, isHolder = h.rationer.Lend(request.Tenant, request.Count)
-	}
+	loan, isHolder := h.rationer.Lend(request.Tenant, request.Count)
 	if !isHolder {
 		w.WriteHeader(http.StatusNotFound)
 		return nil
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -29,6 +29,7 @@
 	refuseAt := started.Add(time.Duration(float64(h.bounds.Load().StopGrace) * serveFraction))
 	killAt := started.Add(time.Duration(float64(h.bounds.Load().StopGrace) * finishFraction))
 	h.isStopping.Store(true)
+	h.rationer.Stop()
 	h.relayer.Stop()
 	h.roster.publish()
 	h.replicator.Close()
--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -86,7 +86,7 @@
 		i = rapid.SampledFrom(holders).Draw(t, "holder")
 	}
 	pause := time.Duration(rapid.IntRange(1, 80).Draw(t, "pause")) * step
-	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "cut", "mend", "remove", "freeze", "suspend", "quota"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota"}).Draw(t, "event") {
 	case "start":
 		f.start(i.ID + "x")
 	case "restart":
@@ -97,6 +97,9 @@
 		for _, i := range f.instances[(len(f.instances)+1)/2:] {
 			i.isDead.Store(true)
 		}
+	case "drain":
+		i.Stop()
+		i.isListed, i.isDeaf = false, true
 	case "cut":
 		if i.membership.Count(0, i.now()) == 1 {
 			// An instance that knows of no other one holds all parts.
@@ -109,7 +112,7 @@
 		i.isCutOff.Store(true)
 	case "mend":
 		for _, i := range f.instances {
-			i.isListed = true
+			i.isListed = !i.isDeaf
 			i.isCutOff.Store(false)
 		}
 	case "remove":
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -65,6 +65,8 @@
 	// stalledUntil is the end of a freeze, suspended the time for which the clock stood
 	// still, both in nanoseconds.
 	stalledUntil, suspended atomic.Int64
+	// isDeaf says that the instance stops and learns nothing any more.
+	isDeaf bool
 	// learnsAt is when the instance learns the members and the quotas next.
 	learnsAt time.Time
 	tenants  atomic.Pointer[map[string]*router.Tenant]
@@ -229,7 +231,7 @@
 
 func (i *instance) advance() {
 	if !i.isCutOff.Load() {
-		if !i.learnsAt.IsZero() && !time.Now().Before(i.learnsAt) {
+		if !i.isDeaf && !i.learnsAt.IsZero() && !time.Now().Before(i.learnsAt) {
 			i.learn()
 		}
 		i.membership.Confirm(i.now())
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -91,6 +91,8 @@
 	rules  atomic.Pointer[rules]
 	// suspended is the total suspension of the machine when it was last looked at.
 	suspended atomic.Int64
+	// isStopping is set by Stop.
+	isStopping atomic.Bool
 
 	mu       sync.RWMutex
 	accounts map[string]*account
@@ -115,6 +117,17 @@
 	r.rules.Store(&rules)
 }
 
+// Stop lets this instance hold no part any more, because a planned stop begins: it may hear
+// no news of the members from now on. It goes on borrowing.
+func (r *Rationer) Stop() { r.isStopping.Store(true) }
+
+// holding returns who shares a quota.
+func (r *Rationer) holding(tenant string, now time.Time) apportioner.Holding {
+	holding := r.config.Fleet.Holding(tenant, now)
+	holding.IsHolder = holding.IsHolder && !r.isStopping.Load()
+	return holding
+}
+
 // Token permits one request to be sent. The zero value is the token of a request without a
 // quota.
 type Token struct {
@@ -132,7 +145,7 @@
 	var tried [maxTries]string
 	for tries := 0; ; tries++ {
 		now, clock := r.read()
-		holding := r.config.Fleet.Holding(tenant.Name, now)
+		holding := r.holding(tenant.Name, now)
 		a.mu.Lock()
 		if a.takeOwn(r.ownPart(tenant, holding), holding, now) {
 			a.mu.Unlock()
@@ -188,7 +201,7 @@
 		return nil
 	}
 	now, clock := r.read()
-	holding := r.config.Fleet.Holding(tenant.Name, now)
+	holding := r.holding(tenant.Name, now)
 	a := r.accountOf(tenant.Name)
 	a.mu.Lock()
 	part := r.ownPart(tenant, holding)
@@ -210,7 +223,7 @@
 		return Loan{}, false
 	}
 	now, _ := r.read()
-	holding := r.config.Fleet.Holding(name, now)
+	holding := r.holding(name, now)
 	if !holding.IsHolder || count <= 0 {
 		return Loan{}, false
 	}
--- a/rationer/status.go
+++ b/rationer/status.go
@@ -39,7 +39,7 @@
 }
 
 func (r *Rationer) describe(tenant *router.Tenant, now time.Time) Status {
-	holding := r.config.Fleet.Holding(tenant.Name, now)
+	holding := r.holding(tenant.Name, now)
 	status := Status{
 		Tenant: tenant.Name, Quota: tenant.Quota, IsHolder: holding.IsHolder,
 		SpentUntil: map[string]time.Time{}, SilentUntil: map[string]time.Time{},
--- a/rationer/use_test.go
+++ b/rationer/use_test.go
@@ -249,3 +249,21 @@
 		f.finish()
 	})
 }
+
+// Guards against a part that is held by an instance that stops, which hears no news, and by
+// its successor.
+func TestAStoppingInstanceOnlyBorrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, tenantWith(100, 50))
+		i, tenant := f.instances[0], (*f.instances[0].tenants.Load())["tenant-1"]
+		_, isHolder := i.Lend("tenant-1", 1)
+		require.True(t, isHolder)
+		i.Stop()
+		_, isHolder = i.Lend("tenant-1", 1)
+		require.False(t, isHolder)
+		messages := f.messages.Load()
+		_, err := i.Take(t.Context(), tenant)
+		require.NoError(t, err)
+		require.Greater(t, f.messages.Load(), messages)
+	})
+}
