--- a/forwarder/tenant.go
+++ b/forwarder/tenant.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "github.com/pollencrank/pollencrank/rerouter"
+import (
+	"context"
+
+	"github.com/pollencrank/pollencrank/rerouter"
+)
 
 // Priority is the rank of the call; 0 is the most urgent. That of the tenant goes before
 // that of the route.
@@ -25,3 +29,11 @@
 	}
 	return hop
 }
+
+// beforeSend calls BeforeSend, if it is set.
+func (c *Call) beforeSend(ctx context.Context) error {
+	if c.BeforeSend == nil {
+		return nil
+	}
+	return c.BeforeSend(ctx)
+}
--- a/outcome.go
+++ b/outcome.go
@@ -55,6 +55,7 @@
 	ReasonUnknownKey          Reason = "unknownKey"
 	ReasonTenantUnreadable    Reason = "tenantUnreadable"
 	ReasonQuotaSpent          Reason = "quotaSpent"
+	ReasonQuotaUnreachable    Reason = "quotaHoldersUnreachable"
 	ReasonAnswerInvalid       Reason = "invalidAnswer"
 )
 
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -77,6 +77,9 @@
 	EventCutOffEnded           Event = 1926
 	EventRerouteFailed         Event = 1927
 	EventServerProbed          Event = 1928
+	EventQuotaSpent            Event = 1941
+	EventQuotaFree             Event = 1942
+	EventQuotaLoanFailed       Event = 1943
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -149,6 +152,9 @@
 		{EventCutOffEnded, slog.LevelInfo, "This instance reaches the servers of that service again."},
 		{EventRerouteFailed, slog.LevelInfo, "Another instance did not take a request of this one, which is cut off from the servers; the next one is asked."},
 		{EventServerProbed, slog.LevelInfo, "An unreachable backend server was probed, because other instances use up what a cold one may get; isBack says whether it answered."},
+		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
+		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
+		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
 	}
 }
 
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -80,6 +80,8 @@
 	limitsExcusedAt time.Time
 	// keys are the keys of tenants, or nil in a run without them.
 	keys *keyRing
+	// tenants holds the quotas of tenants and what ran of them, by name.
+	tenants map[string]*tenantRuns
 	// instances are all instances, and comparison compares one that is cut off from all
 	// servers with the others.
 	instances  []*process
