feat: instances that restart together hold their quotas at once

After a loss of power of all instances nobody held a part of a quota for 3.25 s after the list, and every request of a tenant with a quota was refused meanwhile. An instance now holds from its start, with buckets empty as of then, if the first list from the store names it under an earlier incarnation, half of the others say that they have just started, and none has run for longer.

--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -73,6 +73,9 @@
 	// listedFrom is mayHoldFrom without regard to confirmations. sweptAt is when Sweep was
 	// last called.
 	listedFrom, sweptAt time.Time
+	// listedAt is when the members were first set. resumedBase is mayHoldFrom at Resume, as
+	// long as it has not changed since.
+	listedAt, resumedBase time.Time
 	// holdings caches which shares this instance holds, by the name of the bound.
 	holdings map[string]holding
 	// spreads holds the bounds that were asked for with Holding, by their names.
@@ -118,6 +121,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer m.updateSpreads(m.version.Load(), now)
+	if m.listedAt.IsZero() {
+		m.listedAt = now
+	}
 	isListed := map[string]bool{}
 	for _, member := range members {
 		isListed[member.ID] = true
--- a/apportioner/spread.go
+++ b/apportioner/spread.go
@@ -61,11 +61,7 @@
 		m.updateSpread(bound, s, m.changedAt)
 	}
 	s.askedAt = now
-	base := m.mayHoldFrom
-	if m.isAlone() {
-		base = m.listedFrom
-	}
-	from := latest(s.since, base).Add(takeOverWait)
+	from := m.spreadFrom(s)
 	return Holding{
 		Holders:  s.holders,
 		Parts:    m.parts(now),
@@ -74,13 +70,41 @@
 	}
 }
 
+// Resume lets this instance hold the parts that are its own by the first list of members,
+// without waiting: nobody has held them since its earlier start ended. They count as spent
+// when it started. Parts that it gets by later changes, or after an interruption, wait as
+// ever.
+func (m *Membership) Resume() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.resumedBase = m.mayHoldFrom
+}
+
+// isResumed reports whether Resume counts. The lock is held.
+func (m *Membership) isResumed() bool {
+	return !m.resumedBase.IsZero() && m.resumedBase.Equal(m.mayHoldFrom)
+}
+
+// spreadFrom returns from when on this instance may hold its part of a bound. The lock is
+// held.
+func (m *Membership) spreadFrom(s *spread) time.Time {
+	if m.isResumed() && !s.since.After(m.listedAt) {
+		return m.config.StartedAt
+	}
+	base := m.mayHoldFrom
+	if m.isAlone() {
+		base = m.listedFrom
+	}
+	return latest(s.since, base).Add(takeOverWait)
+}
+
 // mayHoldSpread reports whether this instance has heard from the store or another instance
 // lately enough to hold a part. One that is alone must have run. The lock is held.
 func (m *Membership) mayHoldSpread(now time.Time) bool {
 	if m.isAlone() {
 		return now.Sub(m.sweptAt) <= spreadLease
 	}
-	return m.isInTouch(now) && now.Sub(m.confirmedAt) <= spreadLease
+	return (m.isInTouch(now) || m.isResumed()) && now.Sub(m.confirmedAt) <= spreadLease
 }
 
 // isAlone reports whether this instance knows of no other one. The lock is held.
--- a/hoster/follow.go
+++ b/hoster/follow.go
@@ -55,7 +55,7 @@
 		Wait: longWait, BatchDelay: shortBatchDelay, OnHistoryGone: h.renewWatches, Log: log,
 	})
 	h.followers.instances = follower.New(follower.Config[namer.Instance]{
-		Name: "instances", Source: h.config.Instances, Target: h.state.Instances,
+		Name: "instances", Source: h.config.Instances, Target: instanceTarget{h.state.Instances, h},
 		Wait: longWait, BatchDelay: longBatchDelay,
 		OnHealthChange: h.watchHealthChanged, OnHistoryGone: h.renewWatches, Log: log,
 	})
@@ -200,6 +200,9 @@
 		c.h.config.Log.Info("a configuration is in force", recorder.EventConfigurationInForce.Attr(),
 			slog.Uint64("version", table.Version), slog.Int("routes", len(table.Routes)), slog.Int("tenants", len(table.Tenants)))
 		c.h.logUnknownHomes(table)
+		if current == nil && table.HasTenants() {
+			c.h.prober.Wake()
+		}
 	}
 }
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -123,7 +123,9 @@
 	registrar *registrar.Registrar
 	warmer    *warmer.Warmer
 	// membership says among which instances the bounds of the whole fleet are divided.
-	membership  *apportioner.Membership
+	membership *apportioner.Membership
+	// restart finds out whether the whole fleet has started anew.
+	restart     apportioner.Restart
 	apportioner *apportioner.Apportioner
 	rationer    *rationer.Rationer
 	budgets     *forwarder.Budgets
@@ -201,6 +203,7 @@
 		Probe:    h.requestState,
 		OnDead:   h.removeDead,
 		Domain:   config.Self.FailureDomain,
+		AsksAll:  h.hasTenants,
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -171,6 +171,9 @@
 	// Positions are the revisions of the newest items that the instance has of the
 	// store's collections.
 	Positions peerPositions `json:"known"`
+	// Uptime is for how long the instance has run, as a duration. It is empty in answers of
+	// earlier builds.
+	Uptime string `json:"uptime,omitempty"`
 }
 
 // peerPositions is the encoding of replicator.Positions between instances.
@@ -191,6 +194,7 @@
 			IsReady:     h.isReady(),
 			IsCutOff:    h.rerouter.IsAnyCutOff(),
 			Positions:   peerPositions(h.state.LatestRevisions()),
+			Uptime:      h.uptime().String(),
 		})
 	})
 	routes.POST(suspectsPath, func(w http.ResponseWriter, r bunrouter.Request) error {
@@ -247,6 +251,7 @@
 	h.membership.Confirm(time.Now())
 	h.cutOffPeers.record(i.ID, state.IsCutOff, time.Now())
 	h.replicator.ObserveRevisions(i, replicator.Positions(state.Positions))
+	h.observeRestart(i, state)
 	return prober.State{Incarnation: state.Incarnation, IsStopping: state.IsStopping, IsReady: state.IsReady}, nil
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -36,6 +36,10 @@
 	probeInterval = 900 * time.Millisecond
 	// probeTimeout is the timeout of one probe.
 	probeTimeout = 700 * time.Millisecond
+	// firstRounds is the number of rounds after the first instances are set in which others
+	// than the neighbours are probed too, and firstTargets how many of them at most.
+	firstRounds  = 4
+	firstTargets = 64
 	// deadAfterMisses is the number of consecutive failed probes after which an
 	// instance counts as dead.
 	deadAfterMisses = 3
@@ -67,6 +71,8 @@
 	Probe func(ctx context.Context, instance namer.Instance) (State, error)
 	// OnDead is called for each instance that stops or that has become dead.
 	OnDead func(ctx context.Context, instance namer.Instance)
+	// AsksAll, if set, reports whether others than the neighbours are probed after the start.
+	AsksAll func() bool
 	// OnChange is called when the set of dead instances changes, when an instance
 	// answers for the first time, and when its readiness changes.
 	OnChange func()
@@ -84,13 +90,17 @@
 	// readyByID holds the instances that have answered at least once, with the
 	// readiness in their last answer.
 	readyByID map[string]bool
+	// rounds counts the calls of chooseFirst, up to firstRounds, and asked holds who has
+	// answered them.
+	rounds int
+	asked  map[string]bool
 	// wakeup starts a round of probes when the first instances are set.
 	wakeup chan struct{}
 }
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, asked: map[string]bool{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -128,6 +138,9 @@
 	}
 }
 
+// Wake starts a round of probes at once.
+func (p *Prober) Wake() { p.wake() }
+
 // wake starts a round of probes at once.
 func (p *Prober) wake() {
 	select {
@@ -177,6 +190,9 @@
 		for _, i := range p.probeTargets() {
 			probes.Go(func() { p.probe(ctx, i) })
 		}
+		for _, i := range p.chooseFirst() {
+			probes.Go(func() { p.greet(ctx, i) })
+		}
 	}
 }
 
@@ -207,6 +223,42 @@
 	return p.addDistantTarget(targets)
 }
 
+// chooseFirst returns further instances to probe after the start, at random: whoever starts
+// asks them whether they have just started too.
+func (p *Prober) chooseFirst() []namer.Instance {
+	if p.config.AsksAll == nil || !p.config.AsksAll() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rounds >= firstRounds || len(p.instances) == 0 {
+		return nil
+	}
+	p.rounds++
+	var targets []namer.Instance
+	for _, n := range rand.Perm(len(p.instances)) {
+		if i := p.instances[n]; !p.asked[i.ID] && i.ID != p.config.Self && len(targets) < firstTargets {
+			targets = append(targets, i)
+		}
+	}
+	return targets
+}
+
+// greet probes an instance once. That it does not answer is left to its neighbours.
+func (p *Prober) greet(ctx context.Context, i namer.Instance) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	// Probe passes what the instance says of its start on.
+	_, err := p.config.Probe(probeCtx, i)
+	if err != nil {
+		p.config.Log.Debug("an instance does not answer after the start", slog.String("instance", i.ID), slog.Any("error", err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked[i.ID] = true
+}
+
 // addDistantTarget adds an instance of another failure domain, chosen at random in
 // each round: what the whole domain of this instance has missed, such as changes of
 // the store, shows only in answers from other domains. The lock is held.
--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -86,7 +86,7 @@
 		i = rapid.SampledFrom(holders).Draw(t, "holder")
 	}
 	pause := time.Duration(rapid.IntRange(1, 80).Draw(t, "pause")) * step
-	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota", "powerOffAll"}).Draw(t, "event") {
 	case "start":
 		f.start(i.ID + "x")
 	case "restart":
@@ -119,6 +119,9 @@
 		i.isListed = false
 	case "freeze":
 		i.stalledUntil.Store(time.Now().Add(pause).UnixNano())
+	case "powerOffAll":
+		f.powerOff(pause / 2)
+		f.run(2*time.Second, f.sendRate("tenant-1", 500, everywhere))
 	case "suspend":
 		i.stalledUntil.Store(time.Now().Add(pause).UnixNano())
 		i.suspended.Add(int64(pause))
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -24,6 +24,9 @@
 	step = 50 * time.Millisecond
 	// newsDelay is the longest time after which an instance in touch learns of a change.
 	newsDelay = 1900 * time.Millisecond
+	// firstListDelay is the longest time after which an instance that starts has listed the
+	// others.
+	firstListDelay = 500 * time.Millisecond
 )
 
 var bounds = rationer.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
@@ -70,6 +73,11 @@
 	// learnsAt is when the instance learns the members and the quotas next.
 	learnsAt time.Time
 	tenants  atomic.Pointer[map[string]*router.Tenant]
+	// restart is set for an instance that was started anew with all others at startedAt.
+	// wasListed says that its earlier start was listed then.
+	restart   *apportioner.Restart
+	wasListed bool
+	startedAt time.Time
 }
 
 func newFleet(size int, tenants ...router.Tenant) *fleet {
@@ -90,9 +98,13 @@
 
 func (f *fleet) start(id string) {
 	f.started++
-	i := &instance{f: f, isListed: true, Member: apportioner.Member{
+	f.startIn(apportioner.Member{
 		ID: id, FailureDomain: fmt.Sprint("domain-", f.started%6), Region: fmt.Sprint("region-", f.started%3),
-	}}
+	})
+}
+
+func (f *fleet) startIn(member apportioner.Member) {
+	i := &instance{f: f, isListed: true, startedAt: time.Now(), Member: member}
 	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now()})
 	i.Rationer = rationer.New(rationer.Config{
 		Fleet: i.membership, Lender: i, Bounds: bounds, Log: slog.New(slog.DiscardHandler),
@@ -159,6 +171,42 @@
 	i.loadTenants()
 	i.learnsAt = time.Time{}
 	i.membership.Set(members, i.now())
+	if i.restart != nil {
+		i.restart.ObserveList(len(members)-1, i.wasListed)
+	}
+}
+
+// powerOff ends all instances at once, and starts them again after a while.
+func (f *fleet) powerOff(outage time.Duration) {
+	earlier := slices.Clone(f.instances)
+	for _, i := range earlier {
+		i.isDead.Store(true)
+	}
+	f.run(outage, nil)
+	f.setInstances(nil)
+	for _, before := range earlier {
+		f.startIn(before.Member)
+		i := f.instances[len(f.instances)-1]
+		i.restart, i.wasListed = &apportioner.Restart{}, before.isListed
+	}
+	for _, i := range f.instances {
+		i.learnsAt = time.Now().Add(time.Duration(f.draw() * float64(firstListDelay)))
+	}
+}
+
+// resume asks the others since when they run, after a restart.
+func (i *instance) resume() {
+	if i.restart == nil || !i.learnsAt.IsZero() {
+		return
+	}
+	for _, other := range i.f.instances {
+		if other != i && !other.isDead.Load() && !other.isCutOff.Load() && !i.f.isLost() {
+			i.restart.ObserveUptime(other.ID, time.Since(other.startedAt))
+		}
+	}
+	if i.restart.IsFound(time.Since(i.startedAt)) {
+		i.membership.Resume()
+	}
 }
 
 var errNoAnswer = errors.New("the instance does not answer")
@@ -235,6 +283,7 @@
 			i.learn()
 		}
 		i.membership.Confirm(i.now())
+		i.resume()
 	}
 	i.membership.Sweep(i.now())
 	i.Sweep()
