test: simulated instances that start have IDs of their own

Cause: the property failed (572 requests, 571.1 allowed) in a fleet where two running instances had the same ID, which the simulation had given them. Change: a new instance has a new ID; only a restart takes one over.

--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -1,6 +1,7 @@
 package rationer_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,7 +89,7 @@
 	pause := time.Duration(rapid.IntRange(1, 80).Draw(t, "pause")) * step
 	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota"}).Draw(t, "event") {
 	case "start":
-		f.start(i.ID + "x")
+		f.start(fmt.Sprint("entry-", f.started))
 	case "restart":
 		i.isDead.Store(true)
 		f.run(step, nil)
