fix: a token of a quota permits one send

A repeat within the validity of a token took no other one, and a request that another instance sends on was not bound by its token there at all: it could be sent late and repeatedly. The first Renew now uses the token, a later one takes another, and the hop carries the remaining validity in a third value of its version, which earlier builds do not read. A repeat that is refused leaves the outcome unknown. The deadline is checked again after the wait for a token.

--- a/forwarder/before_send_test.go
+++ b/forwarder/before_send_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/router"
 )
 
 // Guards against attempts beyond a quota: each has to pass the check that the call carries.
@@ -40,3 +42,58 @@
 		require.Len(t, s.sender.sent, test.sent)
 	}
 }
+
+// Guards against a refusal that says a request was not run that may have run.
+func TestARefusedRepeatLeavesTheOutcomeUnknown(t *testing.T) {
+	for _, kind := range []router.Kind{router.Idempotent, router.NonIdempotent} {
+		s := newSystem(t)
+		s.route.Kind = kind
+		s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+			return nil, connectionLost(server)
+		}
+		call := s.newCall("request-1", "17", "/x")
+		call.BeforeSend = func(context.Context) error {
+			if len(s.sender.sent) > 0 {
+				return pollencrank.NotRun(pollencrank.ReasonQuotaSpent, "spent")
+			}
+			return nil
+		}
+		_, err := s.Forward(t.Context(), call)
+		var unknown *pollencrank.OutcomeUnknownError
+		require.ErrorAs(t, err, &unknown, kind)
+		require.Len(t, s.sender.sent, 1)
+
+		s, p := newReroutingSystem(t)
+		s.route.Kind = kind
+		p.isCutOff = true
+		p.err = connectionLost("entry-2")
+		call = s.newCall("request-2", "17", "/x")
+		until, sends := time.Now().Add(time.Minute), 0
+		call.TokenUntil = func() time.Time { return until }
+		call.BeforeSend = func(context.Context) error {
+			sends++
+			if sends > 1 {
+				return pollencrank.NotRun(pollencrank.ReasonQuotaSpent, "spent")
+			}
+			return nil
+		}
+		_, err = s.Forward(t.Context(), call)
+		require.ErrorAs(t, err, &unknown, kind)
+		require.Len(t, p.requests, 1)
+		require.Equal(t, until, p.requests[0].Hop.TokenUntil)
+	}
+}
+
+// Guards against a request that is sent although its deadline has passed while it waited for
+// a token.
+func TestTheDeadlineMayPassBeforeARequestIsSent(t *testing.T) {
+	s := newSystem(t)
+	call := s.newCall("request-1", "17", "/x")
+	call.BeforeSend = func(context.Context) error {
+		call.Request.Deadline = time.Now()
+		return nil
+	}
+	_, err := s.Forward(t.Context(), call)
+	require.ErrorContains(t, err, string(pollencrank.ReasonDeadlinePassed))
+	require.Empty(t, s.sender.sent)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,6 +134,9 @@
 	// BeforeSend, if set, is called right before each attempt. The request is not sent if it
 	// returns an error, which is a NotRunError.
 	BeforeSend func(ctx context.Context) error
+	// TokenUntil, if set, returns until when the request may be sent as BeforeSend has
+	// allowed.
+	TokenUntil func() time.Time
 	// Course is filled in by Forward.
 	Course Course
 
@@ -226,7 +229,7 @@
 		err = f.withdraw(call, now)
 	}
 	if err == nil {
-		err = call.beforeSend(ctx)
+		err = f.beforeSend(ctx, call)
 	}
 	if err != nil {
 		return nil, call.giveUp(err)
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -184,9 +184,12 @@
 	if call.hasWholeBody() {
 		request.NewBody = call.newRequest
 	}
-	if err := call.beforeSend(ctx); err != nil {
+	if err := f.beforeSend(ctx, call); err != nil {
 		return nil, call.giveUp(err)
 	}
+	if call.TokenUntil != nil {
+		request.Hop.TokenUntil = call.TokenUntil()
+	}
 	call.isRerouted = true
 	if call.tries() > 0 {
 		f.config.Log.Info("the request goes through another instance", recorder.EventRequestRetried.Attr(),
--- a/forwarder/tenant.go
+++ b/forwarder/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pollencrank/pollencrank/rerouter"
 )
@@ -30,10 +31,13 @@
 	return hop
 }
 
-// beforeSend calls BeforeSend, if it is set.
-func (c *Call) beforeSend(ctx context.Context) error {
-	if c.BeforeSend == nil {
+// beforeSend calls BeforeSend, if it is set. The deadline may pass meanwhile.
+func (f *Forwarder) beforeSend(ctx context.Context, call *Call) error {
+	if call.BeforeSend == nil {
 		return nil
 	}
-	return c.BeforeSend(ctx)
+	if err := call.BeforeSend(ctx); err != nil {
+		return err
+	}
+	return f.checkDeadline(call, time.Now())
 }
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -40,6 +40,8 @@
 	// request waits between its token and its sending.
 	lossRate float64
 	queueing time.Duration
+	// repeatRate is the share of requests that are sent twice.
+	repeatRate float64
 
 	mu sync.Mutex
 	// arrivals and refusals are the requests of each tenant.
@@ -308,17 +310,27 @@
 			i.stall()
 			err = i.Renew(ctx, known, &token)
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if err != nil || i.isDead.Load() {
-			f.refusals[tenant]++
+		if !f.record(i, tenant, err, waited) || f.draw() >= f.repeatRate {
 			return
 		}
-		f.arrivals[tenant] = append(f.arrivals[tenant], time.Now())
-		f.waits = append(f.waits, waited)
+		time.Sleep(queueing / 10)
+		f.record(i, tenant, i.Renew(ctx, known, &token), waited)
 	}()
 }
 
+// record records whether a request of a tenant was sent.
+func (f *fleet) record(i *instance, tenant string, err error, waited time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil || i.isDead.Load() {
+		f.refusals[tenant]++
+		return false
+	}
+	f.arrivals[tenant] = append(f.arrivals[tenant], time.Now())
+	f.waits = append(f.waits, waited)
+	return true
+}
+
 // sendRate returns a function for run that sends requests of a tenant at a rate, at
 // instances for which isChosen reports true.
 func (f *fleet) sendRate(tenant string, perSecond float64, isChosen func(i *instance) bool) func(*instance) {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -6,8 +6,9 @@
 // from the nearest holder that is neither spent nor silent, and a holder whose own part is
 // spent borrows from the other holders.
 //
-// A token is valid for a short time, counted from before it was asked for. A request that
-// waits for longer until it is sent takes another one. docs/design/quotas.md proves the
+// A token is valid for a short time, counted from before it was asked for, and permits a
+// request to be sent once. A request that waits for longer until it is sent, or that is sent
+// again, takes another one. docs/design/quotas.md proves the
 // bound that follows for all instances together.
 //
 // # Usage
@@ -133,6 +134,8 @@
 type Token struct {
 	// expiresAt is on the clock that includes suspensions of the machine.
 	expiresAt time.Time
+	// isUsed says that the request was sent with it.
+	isUsed bool
 }
 
 // Take takes a token for one request of a tenant. The error is a pollencrank.NotRunError.
@@ -179,10 +182,12 @@
 const maxTries = 3
 
 // Renew has to be called right before a request is sent. It takes another token if the
-// request's token is no longer valid, because the request has waited.
+// request's token is no longer valid, because the request has waited, or if the request has
+// been sent with it before. It uses the token.
 func (r *Rationer) Renew(ctx context.Context, tenant *router.Tenant, token *Token) error {
 	for !token.expiresAt.IsZero() {
-		if _, clock := r.read(); clock.Before(token.expiresAt) {
+		if _, clock := r.read(); !token.isUsed && clock.Before(token.expiresAt) {
+			token.isUsed = true
 			return nil
 		}
 		next, err := r.Take(ctx, tenant)
@@ -195,6 +200,19 @@
 	return nil
 }
 
+// Validity returns for how long a request may still be sent with its token.
+func (r *Rationer) Validity(token Token) time.Duration {
+	_, clock := r.read()
+	return max(token.expiresAt.Sub(clock), 0)
+}
+
+// Accept returns a token that another instance has taken for a request that it sends on, and
+// that is valid for a while.
+func (r *Rationer) Accept(validity time.Duration) Token {
+	_, clock := r.read()
+	return Token{expiresAt: clock.Add(min(max(validity, 0), r.rules.Load().lifetime))}
+}
+
 // Check returns the error with which Take would refuse a request at once, or nil.
 func (r *Rationer) Check(tenant *router.Tenant) error {
 	if tenant == nil || !isLimited(tenant.Quota) {
--- a/relayer/quotas_test.go
+++ b/relayer/quotas_test.go
@@ -19,6 +19,7 @@
 type quotas struct {
 	checkErr, takeErr, renewErr error
 	calls                       int
+	validity, accepted          time.Duration
 }
 
 func (q *quotas) Check(*router.Tenant) error {
@@ -36,6 +37,13 @@
 	return q.renewErr
 }
 
+func (q *quotas) Validity(rationer.Token) time.Duration { return q.validity }
+
+func (q *quotas) Accept(validity time.Duration) rationer.Token {
+	q.accepted = validity
+	return rationer.Token{}
+}
+
 // sender calls BeforeSend as the forwarder does, and returns an empty answer.
 type sender struct{}
 
@@ -92,3 +100,17 @@
 	}
 	require.NoError(t, New(Config{Forwarder: sender{}}).pass(t.Context(), &forwarder.Call{Tenant: limited}))
 }
+
+// The request of another instance is sent once with the token that it has.
+func TestARequestOfAnotherInstanceBringsItsToken(t *testing.T) {
+	limited := &router.Tenant{Name: "tenant-1", Quota: router.Quota{PerSecond: 5}}
+	q := &quotas{validity: 200 * time.Millisecond}
+	r := New(Config{Quotas: q, Forwarder: sender{}})
+	call := &forwarder.Call{Tenant: limited, Hop: &rerouter.Hop{TokenUntil: time.Now().Add(300 * time.Millisecond)}}
+	require.NoError(t, r.pass(t.Context(), call))
+	require.Equal(t, 1, q.calls, "Renew only")
+	require.InDelta(t, 300*time.Millisecond, q.accepted, float64(200*time.Millisecond))
+	require.WithinDuration(t, time.Now().Add(200*time.Millisecond), call.TokenUntil(), 150*time.Millisecond)
+	q.renewErr = pollencrank.NotRun(pollencrank.ReasonQuotaSpent, "spent")
+	require.Error(t, r.pass(t.Context(), call))
+}
--- a/rerouter/hop.go
+++ b/rerouter/hop.go
@@ -24,7 +24,8 @@
 	// headerVersion is the version of the configuration under which it was admitted. Its
 	// second value, if any, is the version and the name of the tenant, separated by a space:
 	// builds without tenants replace all values when they send a request on, so no caller can
-	// forge it through them, and read the first one only.
+	// forge it through them, and read the first one only. The third value, if any, is the
+	// time for which the token of the tenant's quota is still valid.
 	headerVersion = "Pollencrank-Version"
 	// headerOutcome says in an answer of the other instance itself whether the request has
 	// run, and headerReason why it was not answered.
@@ -53,6 +54,9 @@
 	// HasTenantHomes says that the tenant has home regions. An instance that knows no tenants
 	// must not serve the request.
 	HasTenantHomes bool
+	// TokenUntil is until when the request may be sent once with the token of the tenant's
+	// quota that it has. It is zero if it has none, or is of an earlier build.
+	TokenUntil time.Time
 	// Remaining is the time until the deadline of the request. It is decoded only; the
 	// deadline is that of the request when it is sent.
 	Remaining time.Duration
@@ -80,10 +84,13 @@
 	header.Set(headerVersion, first)
 	if h.Tenant != "" {
 		header.Add(headerVersion, version+" "+h.Tenant)
+		if !h.TokenUntil.IsZero() {
+			header.Add(headerVersion, time.Until(h.TokenUntil).String())
+		}
 	}
 }
 
-// decodeVersion sets the version and the tenant.
+// decodeVersion sets the version, the tenant and the end of its token.
 func (h *Hop) decodeVersion(header http.Header) error {
 	values := header.Values(headerVersion)
 	if len(values) == 0 {
@@ -94,7 +101,11 @@
 		version, h.Tenant, _ = strings.Cut(values[1], " ")
 	}
 	var err error
-	h.Version, err = strconv.ParseUint(version, 10, 64)
+	if h.Version, err = strconv.ParseUint(version, 10, 64); err != nil || len(values) < 3 {
+		return err
+	}
+	validity, err := time.ParseDuration(values[2])
+	h.TokenUntil = time.Now().Add(validity)
 	return err
 }
 
--- a/rerouter/tenant_test.go
+++ b/rerouter/tenant_test.go
@@ -72,3 +72,19 @@
 		require.Equal(rt, name, hop.Tenant)
 	})
 }
+
+// Builds that know no tokens read the first two values.
+func TestAHopCarriesTheRestOfAToken(t *testing.T) {
+	hop := rerouter.Hop{MaxAttempts: 2, Version: 7, Tenant: "north", TokenUntil: time.Now().Add(time.Minute)}
+	header := sentHeader(t, http.Header{}, hop)
+	require.Equal(t, []string{"7", "7 north"}, header.Values("Pollencrank-Version")[:2])
+	got, err := rerouter.DecodeHop(header)
+	require.NoError(t, err)
+	require.WithinDuration(t, hop.TokenUntil, got.TokenUntil, 10*time.Second)
+	hop.TokenUntil = time.Time{}
+	got, err = rerouter.DecodeHop(sentHeader(t, http.Header{}, hop))
+	require.NoError(t, err)
+	require.True(t, got.TokenUntil.IsZero())
+	_, err = rerouter.DecodeHop(http.Header{"Pollencrank-Rerouted": {"2"}, "Pollencrank-Remaining": {"1s"}, "Pollencrank-Version": {"7", "7 north", "soon"}})
+	require.Error(t, err)
+}
