fix: instances that are cut off together hold no parts beside their successors

An answered probe counted as contact, also one from an instance in the same cut, so a group held its parts for as long as it heard itself. A part now needs evidence that the store answers, at most 4.5 s old, or that under a quarter of the probed instances are silent. Of two instances the survivor goes on with evidence of the store alone.

--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -46,6 +46,9 @@
 	Self Member
 	// StartedAt is when the instance started.
 	StartedAt time.Time
+	// IsCutOff, if set, reports whether so many others do not answer that this instance may
+	// be cut off together with those that do.
+	IsCutOff func() bool
 }
 
 // Membership says which instances share the bounds of the whole fleet, and since when. All
@@ -76,6 +79,9 @@
 	// listedAt is when the members were first set. resumedBase is mayHoldFrom at Resume, as
 	// long as it has not changed since.
 	listedAt, resumedBase time.Time
+	// storeAt is when the store has last answered this instance or its relay. lapsedAt is
+	// when this instance last noticed that it may be cut off from the store with others.
+	storeAt, lapsedAt time.Time
 	// holdings caches which shares this instance holds, by the name of the bound.
 	holdings map[string]holding
 	// spreads holds the bounds that were asked for with Holding, by their names.
@@ -289,6 +295,7 @@
 		m.waitToHold(now)
 	}
 	m.sweptAt = now
+	m.hasEvidence(now)
 	m.removeGone(now)
 }
 
--- a/apportioner/spread.go
+++ b/apportioner/spread.go
@@ -20,6 +20,12 @@
 	// members has settled: the earlier holder may have heard, for as long as news travels,
 	// only from instances that did not know either, and holds for spreadLease more.
 	takeOverWait = spreadLease
+	// storeLease is how long an instance that may be cut off together with others holds a part
+	// without evidence that the store answers. Its successor waits for longer.
+	storeLease = 4500 * time.Millisecond
+	// fewMembers is the number of members up to which evidence of the store alone is enough:
+	// when the only other one dies, nobody is left to answer.
+	fewMembers = 2
 	// spreadMemory is how long a bound is kept that nobody asks for.
 	spreadMemory = departureMemory
 )
@@ -61,11 +67,12 @@
 		m.updateSpread(bound, s, m.changedAt)
 	}
 	s.askedAt = now
-	from := m.spreadFrom(s)
+	mayHold := m.mayHoldSpread(now)
+	from := m.spreadFrom(s, now)
 	return Holding{
 		Holders:  s.holders,
 		Parts:    m.parts(now),
-		IsHolder: s.isHolder && m.isListed && m.mayHoldSpread(now) && !now.Before(from),
+		IsHolder: s.isHolder && m.isListed && mayHold && !now.Before(from),
 		From:     from,
 	}
 }
@@ -87,21 +94,53 @@
 
 // spreadFrom returns from when on this instance may hold its part of a bound. The lock is
 // held.
-func (m *Membership) spreadFrom(s *spread) time.Time {
-	if m.isResumed() && !s.since.After(m.listedAt) {
+func (m *Membership) spreadFrom(s *spread, now time.Time) time.Time {
+	if m.isResumed() && !s.since.After(m.listedAt) && m.lapsedAt.IsZero() {
 		return m.config.StartedAt
 	}
 	base := m.mayHoldFrom
-	if m.isAlone() {
+	if m.isAlone() || m.reliesOnStore(now) {
 		base = m.listedFrom
 	}
+	if !m.lapsedAt.IsZero() {
+		base = latest(base, m.lapsedAt.Add(settleTime))
+	}
 	return latest(s.since, base).Add(takeOverWait)
 }
 
+// ConfirmStore records that the store answered this instance or its relay at a time.
+func (m *Membership) ConfirmStore(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.storeAt = latest(m.storeAt, at)
+}
+
+// hasEvidence reports whether the store has answered lately, or most others answer, so that
+// it is away for all of them. Otherwise those that answer may be cut off from the store
+// together with this instance, and have successors. The lock is held.
+func (m *Membership) hasEvidence(now time.Time) bool {
+	if now.Sub(m.storeAt) <= storeLease || m.config.IsCutOff == nil || !m.config.IsCutOff() {
+		return true
+	}
+	if !m.storeAt.IsZero() {
+		m.lapsedAt = now
+	}
+	return false
+}
+
+// reliesOnStore reports whether evidence of the store is enough, because there are too few
+// others. The lock is held.
+func (m *Membership) reliesOnStore(now time.Time) bool {
+	return len(m.members) <= fewMembers && now.Sub(m.storeAt) <= storeLease
+}
+
 // mayHoldSpread reports whether this instance has heard from the store or another instance
 // lately enough to hold a part. One that is alone must have run. The lock is held.
 func (m *Membership) mayHoldSpread(now time.Time) bool {
-	if m.isAlone() {
+	if !m.hasEvidence(now) {
+		return false
+	}
+	if m.isAlone() || m.reliesOnStore(now) {
 		return now.Sub(m.sweptAt) <= spreadLease
 	}
 	return (m.isInTouch(now) || m.isResumed()) && now.Sub(m.confirmedAt) <= spreadLease
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -187,7 +187,7 @@
 		cutOffPeers:  cutOffPeers{until: map[string]time.Time{}},
 	}
 	h.bounds.Store(&config.Bounds)
-	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt})
+	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt, IsCutOff: h.isCutOff})
 	h.warmer = warmer.New(h.membership)
 	h.budgets = forwarder.NewBudgets(forwarder.BudgetsConfig{
 		Retries: config.Bounds.Retries, Membership: h.membership, MinInstances: len(config.RegionOf),
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -130,6 +130,9 @@
 	return members
 }
 
+// isCutOff reports whether this instance may be cut off together with those that answer it.
+func (h *Hoster) isCutOff() bool { return h.prober != nil && h.prober.IsCutOff() }
+
 func memberOf(i namer.Instance) apportioner.Member {
 	return apportioner.Member{ID: i.ID, FailureDomain: i.FailureDomain, Region: i.Region}
 }
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -249,6 +249,7 @@
 		return prober.State{}, fmt.Errorf("instance %s: %w", i.ID, err)
 	}
 	h.membership.Confirm(time.Now())
+	h.membership.ConfirmStore(h.replicator.StoreEvidence())
 	h.cutOffPeers.record(i.ID, state.IsCutOff, time.Now())
 	h.replicator.ObserveRevisions(i, replicator.Positions(state.Positions))
 	h.observeRestart(i, state)
@@ -283,6 +284,7 @@
 			h.registrar.Expire()
 			h.closeRemovedServers()
 			h.membership.Confirm((storeAccess{h}).Health().AnsweredAt)
+			h.membership.ConfirmStore(h.replicator.StoreEvidence())
 			h.membership.Sweep(now)
 			h.apportioner.Sweep(h.isLimited)
 			h.rationer.Sweep()
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -40,6 +40,10 @@
 	// than the neighbours are probed too, and firstTargets how many of them at most.
 	firstRounds  = 4
 	firstTargets = 64
+	// resultMemory is how long the result of a probe counts for IsCutOff, and maxFailedShare
+	// the share of failed ones from which on it reports true.
+	resultMemory   = 4 * time.Second
+	maxFailedShare = 0.25
 	// deadAfterMisses is the number of consecutive failed probes after which an
 	// instance counts as dead.
 	deadAfterMisses = 3
@@ -94,13 +98,15 @@
 	// answered them.
 	rounds int
 	asked  map[string]bool
+	// results holds the last result of the probes of each instance.
+	results map[string]result
 	// wakeup starts a round of probes when the first instances are set.
 	wakeup chan struct{}
 }
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, asked: map[string]bool{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, asked: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -126,6 +132,11 @@
 			delete(p.misses, id)
 		}
 	}
+	for id := range p.results {
+		if !isListed[id] {
+			delete(p.results, id)
+		}
+	}
 	for id := range p.dead {
 		if !isListed[id] {
 			delete(p.dead, id)
@@ -286,6 +297,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	p.recordResult(i, err == nil)
 	if err == nil && state.isServing(i) {
 		p.recordAnswer(i, state.IsReady)
 		return
@@ -293,6 +305,36 @@
 	p.recordMiss(ctx, i, err == nil && state.IsStopping)
 }
 
+// result is whether the last probe of an instance was answered, and when it ended.
+type result struct {
+	isAnswered bool
+	at         time.Time
+}
+
+func (p *Prober) recordResult(i namer.Instance, isAnswered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[i.ID] = result{isAnswered: isAnswered, at: time.Now()}
+}
+
+// IsCutOff reports whether so many of the instances that were probed lately have not
+// answered that this one may be cut off, alone or together with the others.
+func (p *Prober) IsCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	probed, failed := 0, 0
+	for _, r := range p.results {
+		if time.Since(r.at) > resultMemory {
+			continue
+		}
+		probed++
+		if !r.isAnswered {
+			failed++
+		}
+	}
+	return failed > 0 && float64(failed) >= maxFailedShare*float64(probed)
+}
+
 func (p *Prober) recordAnswer(i namer.Instance, isReady bool) {
 	p.mu.Lock()
 	delete(p.misses, i.ID)
--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -88,7 +88,7 @@
 		i = rapid.SampledFrom(holders).Draw(t, "holder")
 	}
 	pause := time.Duration(rapid.IntRange(1, 80).Draw(t, "pause")) * step
-	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota", "powerOffAll"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"start", "restart", "killHalf", "drain", "cut", "mend", "remove", "freeze", "suspend", "quota", "powerOffAll", "cutGroup"}).Draw(t, "event") {
 	case "start":
 		f.start(fmt.Sprint("entry-", f.started))
 	case "restart":
@@ -116,6 +116,7 @@
 		for _, i := range f.instances {
 			i.isListed = !i.isDeaf
 			i.isCutOff.Store(false)
+			i.group.Store(0)
 		}
 	case "remove":
 		i.isListed = false
@@ -124,6 +125,10 @@
 	case "powerOffAll":
 		f.powerOff(pause / 2)
 		f.run(2*time.Second, f.sendRate("tenant-1", 500, everywhere))
+	case "cutGroup":
+		if size := len(f.instances) / 2; size > 0 {
+			f.cutGroup(size, f.sendRate("tenant-1", 3*f.tenants[0].Quota.PerSecond+100, everywhere))
+		}
 	case "suspend":
 		i.stalledUntil.Store(time.Now().Add(pause).UnixNano())
 		i.suspended.Add(int64(pause))
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -24,6 +24,10 @@
 	step = 50 * time.Millisecond
 	// newsDelay is the longest time after which an instance in touch learns of a change.
 	newsDelay = 1900 * time.Millisecond
+	// probeDelay is the time after which missed probes show, and removalDelay the least after
+	// which an instance is removed for them.
+	probeDelay   = 1600 * time.Millisecond
+	removalDelay = 1800 * time.Millisecond
 	// firstListDelay is the longest time after which an instance that starts has listed the
 	// others.
 	firstListDelay = 500 * time.Millisecond
@@ -67,6 +71,9 @@
 	isListed   bool
 	isDead     atomic.Bool
 	isCutOff   atomic.Bool
+	// group is that of the instances that are cut off together since cutAt.
+	group atomic.Int64
+	cutAt time.Time
 	// stalledUntil is the end of a freeze, suspended the time for which the clock stood
 	// still, both in nanoseconds.
 	stalledUntil, suspended atomic.Int64
@@ -107,7 +114,7 @@
 
 func (f *fleet) startIn(member apportioner.Member) {
 	i := &instance{f: f, isListed: true, startedAt: time.Now(), Member: member}
-	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now()})
+	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now(), IsCutOff: i.missesMany})
 	i.Rationer = rationer.New(rationer.Config{
 		Fleet: i.membership, Lender: i, Bounds: bounds, Log: slog.New(slog.DiscardHandler),
 		Find:      func(name string) *router.Tenant { return (*i.tenants.Load())[name] },
@@ -229,7 +236,7 @@
 	go func() {
 		time.Sleep(latency)
 		lender.stall()
-		if lender.isDead.Load() || lender.isCutOff.Load() || i.isCutOff.Load() || isRequestLost {
+		if lender.isDead.Load() || lender.isCutOff.Load() || i.isCutOff.Load() || isRequestLost || lender.group.Load() != i.group.Load() {
 			return
 		}
 		loan, isHolder := lender.Lend(tenant, count)
@@ -281,16 +288,52 @@
 
 func (i *instance) advance() {
 	if !i.isCutOff.Load() {
-		if !i.isDeaf && !i.learnsAt.IsZero() && !time.Now().Before(i.learnsAt) {
+		if !i.isDeaf && i.group.Load() == 0 && !i.learnsAt.IsZero() && !time.Now().Before(i.learnsAt) {
 			i.learn()
 		}
 		i.membership.Confirm(i.now())
+		if i.learnsAt.IsZero() && i.group.Load() == 0 {
+			i.membership.ConfirmStore(i.now())
+		}
 		i.resume()
 	}
 	i.membership.Sweep(i.now())
 	i.Sweep()
 }
 
+// missesMany reports whether a quarter of the others have not answered for a while.
+func (i *instance) missesMany() bool {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	missed := 0
+	for _, other := range i.f.instances {
+		if other.isDead.Load() || other.isCutOff.Load() || (other.group.Load() != i.group.Load() && time.Since(i.cutAt) >= probeDelay) {
+			missed++
+		}
+	}
+	return missed > 0 && 4*missed >= len(i.f.instances)-1
+}
+
+// cutGroup cuts a share of the instances off from the others and from the store, but not
+// from each other. The others remove them.
+func (f *fleet) cutGroup(size int, send func(*instance)) {
+	group := f.instances[:size]
+	for _, i := range group {
+		i.group.Store(1)
+	}
+	f.mu.Lock()
+	for _, i := range f.instances {
+		i.cutAt = time.Now()
+	}
+	f.mu.Unlock()
+	f.run(removalDelay, send)
+	for _, i := range group {
+		i.isListed = false
+	}
+	f.spreadNews()
+	f.run(5*time.Second, send)
+}
+
 // request sends a request of a caller, at some time within the step.
 func (i *instance) request(tenant string) {
 	f := i.f
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -389,3 +389,21 @@
 	}
 	return last
 }
+
+// relayUncertainty is how much earlier than it says a relay may last have heard from the
+// store: its watch may be without an answer for that long.
+const relayUncertainty = 3250 * time.Millisecond
+
+// StoreEvidence returns a time at which the store has answered this instance or its relay
+// for certain.
+func (r *Replicator) StoreEvidence() time.Time {
+	last := r.config.Store.Health().AnsweredAt
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.streams {
+		if at := s.confirmedAt.Add(-relayUncertainty); s.hasReceived && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
