--- a/forwarder/tenant.go
+++ b/forwarder/tenant.go
@@ -1,6 +1,11 @@
 package forwarder
 
-import "github.com/pollencrank/pollencrank/rerouter"
+import (
+	"context"
+	"time"
+
+	"github.com/pollencrank/pollencrank/rerouter"
+)
 
 // Priority is the rank of the call; 0 is the most urgent. That of the tenant goes before
 // that of the route.
@@ -25,3 +30,14 @@
 	}
 	return hop
 }
+
+// beforeSend calls BeforeSend, if it is set. The deadline may pass meanwhile.
+func (f *Forwarder) beforeSend(ctx context.Context, call *Call) error {
+	if call.BeforeSend == nil {
+		return nil
+	}
+	if err := call.BeforeSend(ctx); err != nil {
+		return err
+	}
+	return f.checkDeadline(call, time.Now())
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -30,6 +30,7 @@
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/pipeliner"
 	"github.com/pollencrank/pollencrank/prober"
+	"github.com/pollencrank/pollencrank/rationer"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/relayer"
@@ -103,6 +104,8 @@
 type Bounds struct {
 	// Retries is the retry budget of the whole fleet.
 	Retries limiter.WindowConfig
+	// Quotas bound the requests of each tenant of all instances together.
+	Quotas rationer.Bounds
 	// StopGrace is the time from the signal to stop until the platform kills the
 	// process.
 	StopGrace time.Duration
@@ -120,8 +123,11 @@
 	registrar *registrar.Registrar
 	warmer    *warmer.Warmer
 	// membership says among which instances the bounds of the whole fleet are divided.
-	membership  *apportioner.Membership
+	membership *apportioner.Membership
+	// restart finds out whether the whole fleet has started anew.
+	restart     apportioner.Restart
 	apportioner *apportioner.Apportioner
+	rationer    *rationer.Rationer
 	budgets     *forwarder.Budgets
 	distances   *forwarder.Distances
 	isolator    *isolator.Isolator
@@ -181,12 +187,13 @@
 		cutOffPeers:  cutOffPeers{until: map[string]time.Time{}},
 	}
 	h.bounds.Store(&config.Bounds)
-	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt})
+	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt, IsCutOff: h.isCutOff})
 	h.warmer = warmer.New(h.membership)
 	h.budgets = forwarder.NewBudgets(forwarder.BudgetsConfig{
 		Retries: config.Bounds.Retries, Membership: h.membership, MinInstances: len(config.RegionOf),
 	})
 	h.apportioner = apportioner.New(apportioner.Config{Membership: h.membership, Lender: lender{h}, Log: config.Log})
+	h.rationer = h.newRationer()
 	h.registrar = registrar.New(registrar.Config{Warmup: h.warmup, Log: config.Log})
 	h.roster = newRoster(h)
 	h.isolator = isolator.New(isolator.Config{})
@@ -196,6 +203,7 @@
 		Probe:    h.requestState,
 		OnDead:   h.removeDead,
 		Domain:   config.Self.FailureDomain,
+		AsksAll:  h.hasTenants,
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
@@ -205,6 +213,7 @@
 		Table:       h.table.Load,
 		Ready:       h.isConfigured,
 		Forwarder:   h.forwarder,
+		Quotas:      h.rationer,
 		Dialect:     config.Dialect,
 		SampleEvery: config.SampleEvery,
 		Log:         config.Log,
@@ -217,6 +226,7 @@
 func (h *Hoster) SetBounds(bounds Bounds) {
 	h.bounds.Store(&bounds)
 	h.budgets.SetConfig(bounds.Retries)
+	h.rationer.SetBounds(bounds.Quotas)
 }
 
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -36,6 +36,14 @@
 	probeInterval = 900 * time.Millisecond
 	// probeTimeout is the timeout of one probe.
 	probeTimeout = 700 * time.Millisecond
+	// firstRounds is the number of rounds after the first instances are set in which others
+	// than the neighbours are probed too, and firstTargets how many of them at most.
+	firstRounds  = 4
+	firstTargets = 64
+	// resultMemory is how long the result of a probe counts for IsCutOff, and maxFailedShare
+	// the share of failed ones from which on it reports true.
+	resultMemory   = 4 * time.Second
+	maxFailedShare = 0.25
 	// deadAfterMisses is the number of consecutive failed probes after which an
 	// instance counts as dead.
 	deadAfterMisses = 3
@@ -67,6 +75,8 @@
 	Probe func(ctx context.Context, instance namer.Instance) (State, error)
 	// OnDead is called for each instance that stops or that has become dead.
 	OnDead func(ctx context.Context, instance namer.Instance)
+	// AsksAll, if set, reports whether others than the neighbours are probed after the start.
+	AsksAll func() bool
 	// OnChange is called when the set of dead instances changes, when an instance
 	// answers for the first time, and when its readiness changes.
 	OnChange func()
@@ -84,13 +94,19 @@
 	// readyByID holds the instances that have answered at least once, with the
 	// readiness in their last answer.
 	readyByID map[string]bool
+	// rounds counts the calls of chooseFirst, up to firstRounds, and asked holds who has
+	// answered them.
+	rounds int
+	asked  map[string]bool
+	// results holds the last result of the probes of each instance.
+	results map[string]result
 	// wakeup starts a round of probes when the first instances are set.
 	wakeup chan struct{}
 }
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, asked: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -116,6 +132,11 @@
 			delete(p.misses, id)
 		}
 	}
+	for id := range p.results {
+		if !isListed[id] {
+			delete(p.results, id)
+		}
+	}
 	for id := range p.dead {
 		if !isListed[id] {
 			delete(p.dead, id)
@@ -128,6 +149,9 @@
 	}
 }
 
+// Wake starts a round of probes at once.
+func (p *Prober) Wake() { p.wake() }
+
 // wake starts a round of probes at once.
 func (p *Prober) wake() {
 	select {
@@ -177,6 +201,9 @@
 		for _, i := range p.probeTargets() {
 			probes.Go(func() { p.probe(ctx, i) })
 		}
+		for _, i := range p.chooseFirst() {
+			probes.Go(func() { p.greet(ctx, i) })
+		}
 	}
 }
 
@@ -207,6 +234,42 @@
 	return p.addDistantTarget(targets)
 }
 
+// chooseFirst returns further instances to probe after the start, at random: whoever starts
+// asks them whether they have just started too.
+func (p *Prober) chooseFirst() []namer.Instance {
+	if p.config.AsksAll == nil || !p.config.AsksAll() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rounds >= firstRounds || len(p.instances) == 0 {
+		return nil
+	}
+	p.rounds++
+	var targets []namer.Instance
+	for _, n := range rand.Perm(len(p.instances)) {
+		if i := p.instances[n]; !p.asked[i.ID] && i.ID != p.config.Self && len(targets) < firstTargets {
+			targets = append(targets, i)
+		}
+	}
+	return targets
+}
+
+// greet probes an instance once. That it does not answer is left to its neighbours.
+func (p *Prober) greet(ctx context.Context, i namer.Instance) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	// Probe passes what the instance says of its start on.
+	_, err := p.config.Probe(probeCtx, i)
+	if err != nil {
+		p.config.Log.Debug("an instance does not answer after the start", slog.String("instance", i.ID), slog.Any("error", err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked[i.ID] = true
+}
+
 // addDistantTarget adds an instance of another failure domain, chosen at random in
 // each round: what the whole domain of this instance has missed, such as changes of
 // the store, shows only in answers from other domains. The lock is held.
@@ -234,6 +297,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	p.recordResult(i, err == nil)
 	if err == nil && state.isServing(i) {
 		p.recordAnswer(i, state.IsReady)
 		return
@@ -241,6 +305,36 @@
 	p.recordMiss(ctx, i, err == nil && state.IsStopping)
 }
 
+// result is whether the last probe of an instance was answered, and when it ended.
+type result struct {
+	isAnswered bool
+	at         time.Time
+}
+
+func (p *Prober) recordResult(i namer.Instance, isAnswered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[i.ID] = result{isAnswered: isAnswered, at: time.Now()}
+}
+
+// IsCutOff reports whether so many of the instances that were probed lately have not
+// answered that this one may be cut off, alone or together with the others.
+func (p *Prober) IsCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	probed, failed := 0, 0
+	for _, r := range p.results {
+		if time.Since(r.at) > resultMemory {
+			continue
+		}
+		probed++
+		if !r.isAnswered {
+			failed++
+		}
+	}
+	return failed > 0 && float64(failed) >= maxFailedShare*float64(probed)
+}
+
 func (p *Prober) recordAnswer(i namer.Instance, isReady bool) {
 	p.mu.Lock()
 	delete(p.misses, i.ID)
