test: the soak changes quotas of tenants and counts what runs at the servers

Cause: the soak had tenants with keys, and the count of quotas was not connected to it. Change: the kind quotaChanged gives a tenant another quota; what runs of it is counted at the servers over all entries against the rule's formula. 401 is checked by whether the key is held, as before; the final share leaves out tenants with quotas.

--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -182,6 +182,7 @@
 	}
 	s.runs = append(s.runs, run.Server)
 	l.checkTenant(s, run)
+	l.recordTenantRun(run.Tenant, s.sentAt, run.At)
 	isHeldUp := run.At.Before(l.linksDisturbedUntil[run.Server])
 	if c, ok := l.forbidden[run.Server]; ok && !isHeldUp && l.mustHaveApplied(s, c) {
 		l.addViolation("a leaving or evacuated server gets nothing new", "%s at %s by %s, %s after the news", s.ID, run.Server, s.instance.id, run.At.Sub(c.at))
--- a/soaker/quota.go
+++ b/soaker/quota.go
@@ -1,6 +1,11 @@
 package soaker
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/pollencrank/pollencrank/platform/imitator"
+)
 
 const (
 	// quotaWindow, quotaExcess and quotaSlack bound the requests of a tenant that run within
@@ -92,3 +97,38 @@
 	}
 	return allowed, true
 }
+
+// soakQuotas are the quotas that a tenant may get. Its callers send more than the smallest
+// ones allow.
+var soakQuotas = []imitator.QuotaConfig{{}, {PerSecond: 10, Burst: 5}, {PerSecond: 30, Burst: 30}}
+
+// changeQuota changes the quota of a tenant.
+func (s *soak) changeQuota(_ context.Context, _ time.Duration, choice uint64) {
+	tenant := int(choice % tenantCount)
+	quota := soakQuotas[choice/tenantCount%uint64(len(soakQuotas))]
+	s.keys.setQuota(tenant, quota)
+	// A higher quota may be in force as soon as the store has it.
+	s.ledger.setQuota(tenantName(tenant), quota.PerSecond, quota.Burst, time.Now())
+	if err := s.configure(); err != nil {
+		s.ledger.reportViolation("a configuration is accepted", "%v", err)
+	}
+}
+
+// setQuota sets the quota of a tenant in the next version.
+func (r *keyRing) setQuota(tenant int, quota imitator.QuotaConfig) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quotas[tenant] = quota
+}
+
+// isLimited reports whether a tenant has a quota with a limit.
+func (r *keyRing) isLimited(tenant string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, quota := range r.quotas {
+		if tenantName(i) == tenant {
+			return quota.PerSecond > 0
+		}
+	}
+	return false
+}
--- a/soaker/tenants.go
+++ b/soaker/tenants.go
@@ -34,12 +34,12 @@
 
 // tenantFaultKinds are the kinds of fault of runs with tenants.
 func (s *soak) tenantFaultKinds() []faultKind {
-	return []faultKind{{"keyAdded", s.addKey}, {"keyRevoked", s.revokeKey}}
+	return []faultKind{{"keyAdded", s.addKey}, {"keyRevoked", s.revokeKey}, {"quotaChanged", s.changeQuota}}
 }
 
 // needsTenants reports whether a run has tenants.
 func (c Config) needsTenants() bool {
-	return c.Tenants || slices.Contains(c.Only, "keyAdded") || slices.Contains(c.Only, "keyRevoked")
+	return c.Tenants || slices.ContainsFunc((&soak{}).tenantFaultKinds(), func(k faultKind) bool { return slices.Contains(c.Only, k.name) })
 }
 
 // apiKey is a key of a tenant. A key that was revoked is never used again.
@@ -58,6 +58,8 @@
 type keyRing struct {
 	mu   sync.Mutex
 	keys []*apiKey
+	// quotas are the quotas of the tenants by their numbers, in the next version.
+	quotas [tenantCount]imitator.QuotaConfig
 }
 
 // newKeyRing returns a keyRing with the first keys of each tenant.
@@ -113,6 +115,7 @@
 	tenants := make([]imitator.TenantConfig, tenantCount)
 	for i := range tenants {
 		tenants[i].Name = tenantName(i)
+		tenants[i].Quota = r.quotas[i]
 		for _, key := range r.keys {
 			if key.tenant == tenants[i].Name && !key.isRevoked {
 				tenants[i].Keys = append(tenants[i].Keys, key.text)
@@ -205,8 +208,8 @@
 	return len(a.Path) >= len(exemptPrefix) && a.Path[:len(exemptPrefix)] == exemptPrefix
 }
 
-// isServable reports whether an attempt has a key, if its route needs one.
-func (l *ledger) isServable(a imitator.Attempt) bool {
+// hasHeldKey reports whether an attempt has a key that a tenant holds, if its route needs one.
+func (l *ledger) hasHeldKey(a imitator.Attempt) bool {
 	if l.keys == nil || isExempt(a) {
 		return true
 	}
@@ -214,6 +217,12 @@
 	return key.text != "" && !key.isRevoked
 }
 
+// isServable reports whether an attempt has to be served when nothing is wrong: its key is
+// held, and its tenant has no quota that may be spent.
+func (l *ledger) isServable(a imitator.Attempt) bool {
+	return l.hasHeldKey(a) && (l.keys == nil || !l.keys.isLimited(l.keys.find(a.Key).tenant))
+}
+
 // checkTenant checks whom a server was told, and that it was told no key. The caller holds the
 // lock.
 func (l *ledger) checkTenant(s *sentAttempt, run imitator.Run) {
@@ -256,7 +265,7 @@
 // holds the lock.
 func (l *ledger) checkUnauthorized(s *sentAttempt) {
 	l.checkRefusal(s)
-	if l.isServable(s.Attempt) {
+	if l.hasHeldKey(s.Attempt) {
 		key := l.keyOf(s.Attempt)
 		if isExempt(s.Attempt) || l.mustKnow(s, key) {
 			l.addViolation("a key that is held is served", "%s got %d from %s", s.ID, http.StatusUnauthorized, s.instance.id)
