feat: servers tell their slots and the pace of their machines

Cause: some servers add to their load how long work takes on their machine at the moment; only the first two figures were read.

Change: platform decodes slots and pace, bounded, and counts what cannot be read; registrar keeps them with their age. An old report gives way to the mean of the service's servers in the region. The choice of a server does not use any of it yet.

--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -26,6 +26,14 @@
 	// HasLoad is set.
 	Running, Waiting int
 	HasLoad          bool
+	// Slots is the number of requests that the server runs at once, or zero if the answer
+	// does not tell it.
+	Slots int
+	// Pace is how long work takes on the server's machine at the moment, as a multiple of
+	// the usual time, or zero if the answer does not tell it.
+	Pace float64
+	// IsLoadMalformed is set if a figure of the load cannot be decoded.
+	IsLoadMalformed bool
 	// ColdFor is the remaining time for which the server is cold.
 	ColdFor time.Duration
 	// IsLeaving is set if the server says that it leaves: it takes no new requests.
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -21,6 +21,7 @@
 	"github.com/pollencrank/pollencrank/namer"
 	"github.com/pollencrank/pollencrank/prober"
 	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/replicator"
 	"github.com/pollencrank/pollencrank/rerouter"
 )
@@ -106,7 +107,12 @@
 		return
 	}
 	if report.HasLoad {
-		b.RecordLoad(report.Running, report.Waiting, now)
+		h.registrar.RecordReport(b, registrar.LoadReport{
+			Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Pace: report.Pace,
+		}, now)
+	}
+	if report.IsLoadMalformed {
+		metrics.GetOrCreateCounter(`pollencrank_malformed_loads_total`).Inc()
 	}
 	if report.ColdFor > 0 {
 		b.MarkCold(now.Add(report.ColdFor))
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -54,6 +54,8 @@
 	// era is the era of the store in which the entry was read. The Registrar's lock guards
 	// it.
 	era uint64
+	// means are those of the service's servers in the server's region.
+	means *regionMeans
 
 	mu sync.Mutex
 	// inFlight holds this instance's unanswered requests to the server.
@@ -62,11 +64,17 @@
 	// server last reported its total load.
 	othersLoad     float64
 	loadReportedAt time.Time
-	slowness       float64
-	failureShare   float64
-	observedAt     time.Time
-	coldUntil      time.Time
-	suspension     time.Duration
+	// toldPace and toldSlots are what the server told at paceToldAt; zero says that it has
+	// told none.
+	toldPace   float64
+	toldSlots  int
+	paceToldAt time.Time
+
+	slowness     float64
+	failureShare float64
+	observedAt   time.Time
+	coldUntil    time.Time
+	suspension   time.Duration
 	// unreachableAt is when the server was first unreachable since its last answer, and
 	// suspendedUntil when it is tried again.
 	unreachableAt  time.Time
@@ -85,8 +93,8 @@
 	expected time.Duration
 }
 
-func newBackend(s Server) *Backend {
-	b := &Backend{slowness: 1, inFlight: map[*InFlight]struct{}{}}
+func newBackend(s Server, means *regionMeans) *Backend {
+	b := &Backend{slowness: 1, inFlight: map[*InFlight]struct{}{}, means: means}
 	b.server.Store(&s)
 	return b
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -62,10 +62,13 @@
 type Registrar struct {
 	config Config
 	view   atomic.Pointer[view]
+	// paceTellers holds the services of which a server has told a pace.
+	paceTellers sync.Map
 
 	mu        sync.Mutex
 	backends  map[string]*Backend
 	evacuated map[string]bool
+	means     map[serviceRegion]*regionMeans
 	lapses
 	departures
 }
@@ -88,6 +91,7 @@
 		config:     config,
 		backends:   map[string]*Backend{},
 		evacuated:  map[string]bool{},
+		means:      map[serviceRegion]*regionMeans{},
 		lapses:     lapses{missing: map[string]bool{}},
 		departures: departures{byID: map[string]departure{}},
 	}
@@ -178,7 +182,7 @@
 		known.server.Store(&s)
 		return
 	}
-	r.backends[s.ID] = newBackend(s)
+	r.backends[s.ID] = newBackend(s, r.meansOf(s))
 	r.config.Log.Info("backend server added", recorder.EventServerJoined.Attr(),
 		slog.String("server", s.ID), slog.String("service", s.Service), slog.String("failureDomain", s.FailureDomain),
 		slog.String("address", s.Address), slog.Int64("incarnation", s.Incarnation),
@@ -195,8 +199,12 @@
 // rebuild publishes a new view. The lock is held.
 func (r *Registrar) rebuild() {
 	next := &view{version: r.view.Load().version + 1, byService: map[string][]*Backend{}, byID: map[string]*Backend{}, byAddress: map[string]*Backend{}}
+	for _, m := range r.means {
+		m.servers = 0
+	}
 	for id, b := range r.backends {
 		s := b.Server()
+		b.means.servers++
 		b.isEvacuated.Store(r.evacuated[s.FailureDomain])
 		if s.IsLeaving {
 			continue
