--- a/forwarder/uneven_test.go
+++ b/forwarder/uneven_test.go
@@ -104,3 +104,54 @@
 		}
 	})
 }
+
+// countNear returns how many of 400 objects have their first server in the north.
+func countNear(t *testing.T, f *Forwarder, now time.Time) int {
+	t.Helper()
+	near := 0
+	for object := range 400 {
+		basisCall := newChooserCall(object, now)
+		found := f.findCandidates(basisCall, nil, now)
+		require.Equal(t, candidateCount, found.count)
+		if found.backends[0].Server().Region == "north" {
+			near++
+		}
+	}
+	return near
+}
+
+// Objects move to other regions while the servers of the own one are fuller, slowly, and only
+// if they tell their pace.
+func TestObjectsMoveWhereThereIsRoom(t *testing.T) {
+	for _, pace := range []float64{0, 1} {
+		f := newChooser([3]int{2, 8, 8})
+		now := time.Unix(1000, 0)
+		play := func(length time.Duration, near, far int) {
+			for end := now.Add(length); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				for _, b := range f.config.Registrar.Backends("parts") {
+					load := far
+					if b.Server().Region == "north" {
+						load = near
+					}
+					f.config.Registrar.RecordReport(b, registrar.LoadReport{Running: min(load, 3), Waiting: max(0, load-3), Slots: 3, Pace: pace}, now)
+				}
+				f.findCandidates(newChooserCall(0, now), nil, now)
+			}
+		}
+		before := countNear(t, f, now)
+		play(2*time.Second, 9, 2)
+		soon := countNear(t, f, now)
+		play(6*time.Second, 9, 2)
+		later := countNear(t, f, now)
+		play(20*time.Second, 2, 2)
+		back := countNear(t, f, now)
+		if pace == 0 {
+			require.Equal(t, []int{before, before, before}, []int{soon, later, back})
+			continue
+		}
+		require.Less(t, soon, before)
+		require.GreaterOrEqual(t, soon, before-400*8/100, "at most a small part in two seconds")
+		require.Less(t, later, before*2/3)
+		require.Greater(t, back, later)
+	}
+}
