chore: the share of objects near is taken back

What only it and the trials used is gone from registrar, and a health probe reports no load: it would have cleared the rate limit of a server that names one in its other answers.

--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -61,9 +61,6 @@
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, foreignAnswer(target, response))
 	}
 	attempt.finish()
-	if report := d.config.Dialect.Report(response.StatusCode, response.Header); d.config.OnReport != nil && report.Pace > 0 && report.Server == target.Name {
-		d.config.OnReport(target, Report{Server: report.Server, HasLoad: true, Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Pace: report.Pace})
-	}
 	discard(response)
 	load, err := strconv.Atoi(response.Header.Get(HeaderLoad))
 	if err != nil || load < 0 {
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -99,12 +99,9 @@
 	p := f.placements.of(call)
 	var buffer [placer.CachedServers]int
 	var order []int
-	switch {
-	case call.isAboutObject() && f.config.Registrar.TellsPace(call.service.Name):
-		order = p.table.FirstAt(call.key, f.nearShare(call, p, now), buffer[:0])
-	case call.isAboutObject():
+	if call.isAboutObject() {
 		order = p.table.First(call.key, buffer[:0])
-	default:
+	} else {
 		order = p.table.Spread(call.key, buffer[:0])
 	}
 	var found candidateSet
@@ -116,17 +113,6 @@
 	return found
 }
 
-// nearShare returns the share of objects whose first server is in this region, by the room of
-// the regions' servers.
-func (f *Forwarder) nearShare(call *Call, p *placement, now time.Time) float64 {
-	if p.share.IsDue(now) {
-		if near, far, ok := f.config.Registrar.Fullness(call.service.Name, f.config.Region); ok {
-			p.share.Update(near, far, now)
-		}
-	}
-	return p.share.Near()
-}
-
 // mayRun reports whether a server may run a call beside the suspects that it runs. A
 // suspect never runs beside another one.
 func (f *Forwarder) mayRun(call *Call, b *registrar.Backend) bool {
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -17,8 +17,6 @@
 	candidates []placer.Candidate
 	locations  []Location
 	table      *placer.Table
-	// share is used only for a service whose servers tell their pace.
-	share *placer.Share
 }
 
 // placementID identifies a placement.
@@ -69,13 +67,9 @@
 	}
 	config := placer.Config{Candidates: next.candidates, Region: p.config.Region, Regions: p.config.Regions}
 	if previous != nil && previous.table.Matches(config) {
-		next.table, next.share = previous.table, previous.share
+		next.table = previous.table
 		return next
 	}
 	next.table = placer.NewTable(config)
-	next.share = placer.NewShare(next.table.NearShare())
-	if previous != nil {
-		next.share = previous.share.Shifted(next.table.NearShare() - previous.table.NearShare())
-	}
 	return next
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -163,24 +163,6 @@
 	return append(order, entry.order[:entry.count]...)
 }
 
-// NearShare returns the share of objects whose first server is in the callers' own region, by
-// the slots of the regions.
-func (t *Table) NearShare() float64 { return t.nearShare }
-
-// FirstAt is First for another share of objects whose first server is near.
-func (t *Table) FirstAt(key uint64, nearShare float64, order []int) []int {
-	begin := len(order)
-	order = t.First(key, order)
-	if t.prefersFar(key) == isFar(key, nearShare) {
-		return order
-	}
-	paired := min(begin+2*min(len(t.near.indices), len(t.far.indices)), len(order))
-	for i := begin; i+1 < paired; i += 2 {
-		order[i], order[i+1] = order[i+1], order[i]
-	}
-	return order
-}
-
 // insert stores an entry in a free way, or replaces an older one if the set is full.
 func (s *cacheSet) insert(entry *cacheEntry) {
 	for i := range s {
@@ -235,11 +217,8 @@
 }
 
 // prefersFar reports whether an object's first server is far.
-func (t *Table) prefersFar(key uint64) bool { return isFar(key, t.nearShare) }
-
-// isFar reports whether an object has its first server in another region.
-func isFar(key uint64, nearShare float64) bool {
-	return pollencrank.Uniform(pollencrank.Mix(key^nearSalt)) >= nearShare
+func (t *Table) prefersFar(key uint64) bool {
+	return pollencrank.Uniform(pollencrank.Mix(key^nearSalt)) >= t.nearShare
 }
 
 // scored is a candidate and its score for an object.
--- a/registrar/pace.go
+++ b/registrar/pace.go
@@ -46,8 +46,6 @@
 	fullness  float64
 	pace      float64
 	updatedAt time.Time
-	// servers is the number of servers. The Registrar's lock guards it.
-	servers int
 }
 
 // add takes a report in.
@@ -74,12 +72,6 @@
 	return m.fullness, m.pace
 }
 
-func (m *regionMeans) isHeard() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.updatedAt.IsZero()
-}
-
 // serviceRegion identifies the servers of a service in a region.
 type serviceRegion struct{ service, region string }
 
@@ -92,35 +84,6 @@
 	return r.means[id]
 }
 
-// Fullness returns the mean numbers of requests for each slot that the servers of a service
-// have told lately: in a region, and in the others, by their numbers of servers. ok is false
-// unless both are known.
-func (r *Registrar) Fullness(service, region string) (near, far float64, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var servers, isNear float64
-	for id, m := range r.means {
-		if id.service != service {
-			continue
-		}
-		fullness, _ := m.get()
-		if !m.isHeard() {
-			continue
-		}
-		if id.region == region {
-			near, isNear = fullness, 1
-			continue
-		}
-		count := float64(m.servers)
-		far += fullness * count
-		servers += count
-	}
-	if servers == 0 || isNear == 0 {
-		return 0, 0, false
-	}
-	return near, far / servers, true
-}
-
 // TellsPace reports whether servers of a service tell the pace of their machines. The rules
 // for uneven servers and uneven demand hold only for such services.
 func (r *Registrar) TellsPace(service string) bool {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -199,12 +199,8 @@
 // rebuild publishes a new view. The lock is held.
 func (r *Registrar) rebuild() {
 	next := &view{version: r.view.Load().version + 1, byService: map[string][]*Backend{}, byID: map[string]*Backend{}, byAddress: map[string]*Backend{}}
-	for _, m := range r.means {
-		m.servers = 0
-	}
 	for id, b := range r.backends {
 		s := b.Server()
-		b.means.servers++
 		b.isEvacuated.Store(r.evacuated[s.FailureDomain])
 		if s.IsLeaving {
 			continue
