fix: a member that starts again in another region moves for all instances

Membership kept the first region that it had heard of, so the instances chose different holders of a quota.

--- a/apportioner/cut_test.go
+++ b/apportioner/cut_test.go
@@ -93,3 +93,18 @@
 		require.True(t, m.Holding("tenant-1", now).IsHolder, elapsed)
 	}
 }
+
+// Guards against two views of the holders: one that starts again in another region moves for
+// all.
+func TestAMemberMayMoveToAnotherRegion(t *testing.T) {
+	members := regionMembers(9)
+	m := settled(members[0], members)
+	before := m.Holding("tenant-1", start).Holders
+	for i := range members {
+		if members[i].ID == before[1].ID {
+			members[i].Region = before[0].Region
+		}
+	}
+	m.Set(members, start)
+	require.Equal(t, settled(members[0], members).Holding("tenant-1", start).Holders, m.Holding("tenant-1", start).Holders)
+}
--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -253,11 +253,12 @@
 	return higher < count
 }
 
-// add adds a member, or lets one that was gone count again. The lock is held.
+// add adds a member, lets one that was gone count again, or replaces one that has moved to
+// another region. The lock is held.
 func (m *Membership) add(member Member, now time.Time) {
 	delete(m.departedAt, member.ID)
 	known, isKnown := m.members[member.ID]
-	if isKnown && known.countsUntil.IsZero() {
+	if isKnown && known.countsUntil.IsZero() && known.Member == member {
 		return
 	}
 	m.members[member.ID] = memberState{Member: member}
