fix: a list that is replaced is never seen empty; a later start's entry is not one's own

roster.Reset emptied the list under one lock and filled it under another, so publish could hand over no members, after which everybody waits. A listed own ID with a later incarnation counts as not listed (TestAnInstanceWhoseLaterStartIsListedLendsNothing). After a suspension the interruption is recorded before others see the new total.

--- a/hoster/restart_test.go
+++ b/hoster/restart_test.go
@@ -41,3 +41,20 @@
 	})
 	require.False(t, e.log.contains(resumed))
 }
+
+// Guards against an earlier start that goes on holding what its later start holds.
+func TestAnInstanceWhoseLaterStartIsListedLendsNothing(t *testing.T) {
+	s := newStore()
+	s.configureTenant(1, router.Quota{PerSecond: 100, Burst: 50})
+	s.startServer(t, "i-1", echo)
+	e := s.start(t, "entry-1", 2)
+	status := func() int {
+		status, _ := askForQuota(t, e, `{"tenant":"tenant-1","count":1}`)
+		return status
+	}
+	eventually(t, "it holds", func() bool { return status() == 200 })
+	later := e.Instance
+	later.Incarnation, later.PeerAddress = 3, "127.0.0.1:1"
+	s.instances.set("entry-1", later, false)
+	eventually(t, "it holds nothing", func() bool { return status() == 404 })
+}
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -46,15 +46,19 @@
 
 // Reset implements follower.Handler.
 func (r *roster) Reset(items []follower.Item[namer.Instance]) {
-	r.mu.Lock()
-	clear(r.listed)
-	r.mu.Unlock()
-	r.Apply(items)
+	r.apply(items, true)
 }
 
 // Apply implements follower.Handler.
-func (r *roster) Apply(items []follower.Item[namer.Instance]) {
+func (r *roster) Apply(items []follower.Item[namer.Instance]) { r.apply(items, false) }
+
+// apply applies changes, to an empty roster if they are all that is listed: publish must not
+// see it empty in between.
+func (r *roster) apply(items []follower.Item[namer.Instance], isWhole bool) {
 	r.mu.Lock()
+	if isWhole {
+		clear(r.listed)
+	}
 	for _, item := range items {
 		if item.Removed {
 			delete(r.listed, item.Name)
@@ -124,7 +128,12 @@
 // this instance. The lock is held.
 func (r *roster) members() []apportioner.Member {
 	members := make([]apportioner.Member, 0, len(r.listed))
+	self := r.h.config.Self
 	for _, i := range r.listed {
+		if i.ID == self.ID && i.Incarnation > self.Incarnation {
+			// A later start of this instance holds what is listed.
+			continue
+		}
 		members = append(members, memberOf(i.Instance))
 	}
 	return members
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -269,8 +269,10 @@
 func (r *Rationer) read() (now, clock time.Time) {
 	now = r.config.Now()
 	suspended := r.config.Suspended()
-	if known := r.suspended.Load(); suspended > time.Duration(known)+minSuspension && r.suspended.CompareAndSwap(known, int64(suspended)) {
+	if known := r.suspended.Load(); suspended > time.Duration(known)+minSuspension {
+		// Whoever sees the new value must find the interruption recorded.
 		r.config.Fleet.Interrupt(now)
+		r.suspended.CompareAndSwap(known, int64(suspended))
 	}
 	return now, now.Add(suspended)
 }
