--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -75,6 +75,7 @@
 	f := newFleet(size, router.Tenant{Name: "tenant-1", Quota: quota()})
 	f.lossRate = rapid.SampledFrom([]float64{0, 0, 0.2}).Draw(t, "lossRate")
 	f.queueing = rapid.SampledFrom([]time.Duration{0, 300 * time.Millisecond, 3 * time.Second}).Draw(t, "queueing")
+	f.isGated = f.queueing > 0 && rapid.Bool().Draw(t, "isGated")
 	f.repeatRate = rapid.SampledFrom([]float64{0, 0, 1}).Draw(t, "repeatRate")
 	for range rapid.IntRange(1, 8).Draw(t, "events") {
 		if len(f.instances) > 0 {
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -44,6 +44,8 @@
 	// request waits between its token and its sending.
 	lossRate float64
 	queueing time.Duration
+	// isGated says that all requests wait for the same times, queueing apart.
+	isGated bool
 	// repeatRate is the share of requests that are sent twice.
 	repeatRate float64
 
@@ -383,6 +385,9 @@
 		token, err := i.Take(ctx, known)
 		waited := time.Since(began)
 		if err == nil {
+			if f.isGated {
+				queueing = time.Until(time.Now().Truncate(f.queueing).Add(f.queueing))
+			}
 			time.Sleep(queueing)
 			i.stall()
 			err = i.Renew(ctx, known, &token)
