feat: requests of tenants wait for room or are turned away by what that costs callers

Where tenants compete, or servers tell the pace of their machines, a first attempt is decided on by admitter: it joins a server's queue within its latency objective, waits at the instance for an eighth of it at most, and is then refused with a time to come back. Answers, deadlines, a caller that leaves and a planned stop end the wait. Elsewhere the rule is the former one, as a test over drawn states shows.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -40,7 +40,8 @@
 			skipped = append(skipped, backend)
 			continue
 		}
-		if err := f.admit(call, backend, choice, now, attempt); err != nil {
+		chosen := decision{backend: backend, usual: serviceTime, option: candidates.options[choice.Index], choice: choice}
+		if err := f.admit(call, &candidates, chosen, now, attempt); err != nil {
 			return decision{}, err
 		}
 		if !f.takeToken(ctx, call, backend) {
@@ -48,7 +49,7 @@
 			skipped = append(skipped, backend)
 			continue
 		}
-		return decision{backend: backend, usual: serviceTime, option: candidates.options[choice.Index], choice: choice}, nil
+		return chosen, nil
 	}
 }
 
@@ -56,7 +57,11 @@
 // in a server's queue. The check guards against sustained overload: if queues grew as
 // long as callers wait, every answer would be late; with short queues the requests that
 // are admitted are answered in time.
-func (f *Forwarder) admit(call *Call, backend *registrar.Backend, choice selector.Choice, now time.Time, attempt int) error {
+func (f *Forwarder) admit(call *Call, candidates *candidateSet, chosen decision, now time.Time, attempt int) error {
+	if attempt == 1 && f.sharesRoom(call) {
+		return f.admitToRoom(call, candidates, chosen, now)
+	}
+	backend, choice := chosen.backend, chosen.choice
 	if attempt > 1 || choice.Wait <= 0 {
 		return nil
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/admitter"
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/isolator"
@@ -79,6 +80,8 @@
 	// Suspended, if set, returns the total time for which the machine has been
 	// suspended.
 	Suspended func() time.Duration
+	// TellsPace, if set, reports whether servers of a service tell the pace of their machines.
+	TellsPace func(service string) bool
 	Log       *slog.Logger
 }
 
@@ -91,6 +94,7 @@
 	// answerStager buffers answers until they are known to be complete.
 	answerStager *stager.Stager
 	suspectRuns  suspectRuns
+	room         *room
 	// crashChecks counts the checks for crashes that run in the background.
 	crashChecks sync.WaitGroup
 }
@@ -108,6 +112,7 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
+		room:          newRoom(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
 		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
@@ -135,6 +140,15 @@
 	// Hop is what another instance says that has sent the request on. It is nil for the
 	// request of a caller of this instance.
 	Hop *rerouter.Hop
+	// ArrivedAt is when the request arrived at this instance. Zero means when Forward is
+	// called.
+	ArrivedAt time.Time
+
+	// roomRequest states what the admission depends on, if room is shared. isCountedInRoom
+	// says that the request counts for the shares, and wasCrowdedOut that too many others
+	// wait.
+	roomRequest                    *admitter.Request
+	isCountedInRoom, wasCrowdedOut bool
 
 	service router.Service
 	// sent and unreached count the attempts that may have reached a server, and those that
@@ -213,7 +227,7 @@
 		return f.tryThroughPeer(ctx, call, now)
 	}
 	f.deposit(call, now)
-	chosen, err := f.choose(ctx, call, now, call.tries()+1)
+	chosen, err := f.chooseInRoom(ctx, call, now, call.tries()+1)
 	if err == nil {
 		err = f.checkDeadline(call, time.Now())
 	}
@@ -304,6 +318,7 @@
 		err = f.bufferAnswer(ctx, answer, backend)
 	}
 	backend.End(sent)
+	f.room.wake(backend, time.Now())
 	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
 		// The caller's upload failed; the failure is not recorded against the server.
 		return nil, bodyFailure(call, server, err)
--- /dev/null
+++ b/forwarder/room.go
@@ -0,0 +1,232 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/admitter"
+	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/registrar"
+)
+
+const (
+	// maxWaitingPerPriority bounds the requests of one priority that wait for room.
+	maxWaitingPerPriority = 512
+	// maxWaitingBytes bounds the bodies of the requests that wait for room.
+	maxWaitingBytes = 8 << 20
+)
+
+var (
+	waitingRequests = metrics.GetOrCreateGauge(`pollencrank_room_waiting`, nil)
+	waitSeconds     = metrics.GetOrCreateHistogram(`pollencrank_room_wait_seconds`)
+)
+
+// room lets requests to a service wait, or turns them away, when there is too little room
+// at its servers.
+type room struct {
+	admitter *admitter.Admitter
+	stopping chan struct{}
+	stopOnce sync.Once
+
+	mu    sync.Mutex
+	queue *admitter.Queue[*registrar.Backend]
+	// reportedAt is when a lack of room was last reported, by service, and turnedAway the
+	// number of requests turned away since.
+	reportedAt map[string]time.Time
+	turnedAway map[string]int
+}
+
+func newRoom() *room {
+	return &room{
+		admitter:   admitter.New(admitter.Config{Random: rand.Float64}),
+		stopping:   make(chan struct{}),
+		reportedAt: map[string]time.Time{}, turnedAway: map[string]int{},
+		queue: admitter.NewQueue[*registrar.Backend](admitter.Bounds{PerPriority: maxWaitingPerPriority, Bytes: maxWaitingBytes}),
+	}
+}
+
+// EndWaits ends the waits of all requests: each runs or is refused at once.
+func (f *Forwarder) EndWaits() { f.room.stopOnce.Do(func() { close(f.room.stopping) }) }
+
+// sharesRoom reports whether the room at the servers of a call is shared by what it costs
+// callers: tenants compete for it, or the servers tell the pace of their machines.
+func (f *Forwarder) sharesRoom(call *Call) bool {
+	return call.Tenant != nil || (f.config.TellsPace != nil && f.config.TellsPace(call.service.Name))
+}
+
+// waitError reports that a request is to wait for room.
+type waitError struct {
+	until   time.Time
+	servers []*registrar.Backend
+}
+
+// Error implements error.
+func (e *waitError) Error() string { return "the request waits for room" }
+
+// chooseInRoom returns the server for the next attempt of a call, once there is room for it.
+func (f *Forwarder) chooseInRoom(ctx context.Context, call *Call, now time.Time, attempt int) (decision, error) {
+	if attempt == 1 && f.sharesRoom(call) {
+		f.beginRequest(call, now)
+	}
+	for {
+		chosen, err := f.choose(ctx, call, now, attempt)
+		var wait *waitError
+		if !errors.As(err, &wait) {
+			if err == nil && call.roomRequest != nil && attempt == 1 {
+				f.room.admitter.Start(call.roomRequest, now)
+			}
+			return chosen, err
+		}
+		if !f.awaitRoom(ctx, call, wait) {
+			return decision{}, pollencrank.NotRun(pollencrank.ReasonCallerGone, "the caller left while the request waited for room")
+		}
+		now = time.Now()
+	}
+}
+
+// beginRequest states what the admission of a call depends on.
+func (f *Forwarder) beginRequest(call *Call, now time.Time) {
+	if call.roomRequest != nil {
+		return
+	}
+	arrivedAt := call.ArrivedAt
+	if arrivedAt.IsZero() {
+		arrivedAt = now
+	}
+	request := &admitter.Request{
+		Kind: call.Route.Name, Service: call.service.Name, Priority: call.Priority(),
+		ArrivedAt: arrivedAt, Deadline: call.Request.Deadline, IsStreamed: !call.hasWholeBody(),
+	}
+	if call.Tenant != nil {
+		request.Tenant = call.Tenant.Name
+	}
+	if call.Route.LatencyObjective > 0 {
+		request.ObjectiveAt = arrivedAt.Add(call.Route.LatencyObjective)
+	}
+	call.roomRequest = request
+}
+
+// admitToRoom returns why a call may not be sent to the chosen server now: a waitError if it
+// is to wait for room.
+func (f *Forwarder) admitToRoom(call *Call, candidates *candidateSet, chosen decision, now time.Time) error {
+	r := call.roomRequest
+	r.Expected, r.Wait = chosen.choice.Expected, chosen.choice.Wait
+	r.Work = max(r.Expected-r.Wait-chosen.option.Distance, 0)
+	r.Deadline = call.Request.Deadline
+	if !call.isCountedInRoom {
+		call.isCountedInRoom = true
+		f.room.admitter.Arrive(r, now)
+	}
+	decided := f.room.admitter.Decide(r, now)
+	switch decided.Verdict {
+	case admitter.Run:
+		return nil
+	case admitter.Wait:
+		if !f.room.isStopping() && !call.wasCrowdedOut {
+			return &waitError{until: decided.At, servers: candidates.backends[:candidates.count]}
+		}
+	}
+	f.reportShortage(call, decided.Cause, now)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_room_refused_total{cause=%q,priority="%d"}`, decided.Cause, call.Priority())).Inc()
+	err := pollencrank.NotRun(pollencrank.ReasonQueueFull,
+		"too little room (%s): %s expected at server %s, %s of it waiting", decided.Cause, r.Expected.Round(time.Millisecond),
+		chosen.backend.ID(), r.Wait.Round(time.Millisecond))
+	err.RetryAt = decided.At
+	return err
+}
+
+// reportShortage logs that requests to a service are turned away, at most once in a
+// reportInterval.
+func (f *Forwarder) reportShortage(call *Call, cause admitter.Cause, now time.Time) {
+	service := call.service.Name
+	r := f.room
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turnedAway[service]++
+	if now.Sub(r.reportedAt[service]) < reportInterval {
+		return
+	}
+	f.config.Log.Info("there is too little room at the servers of a service", recorder.EventRoomShort.Attr(),
+		slog.String("service", service), slog.Int("turnedAway", r.turnedAway[service]), slog.Int("waiting", r.queue.Len()),
+		slog.String("lastCause", string(cause)))
+	r.reportedAt[service] = now
+	r.turnedAway[service] = 0
+}
+
+func (r *room) isStopping() bool {
+	select {
+	case <-r.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitRoom waits until there may be room for a call, or no longer than it may wait. It
+// reports false if the caller has left.
+func (f *Forwarder) awaitRoom(ctx context.Context, call *Call, wait *waitError) bool {
+	ticket := &admitter.Ticket{Request: call.roomRequest, Bytes: int64(len(call.Body)), Woken: make(chan struct{}, 1)}
+	if !f.room.add(ticket, wait.servers) {
+		call.wasCrowdedOut = true
+		return true
+	}
+	started := time.Now()
+	waitingRequests.Inc()
+	timer := time.NewTimer(wait.until.Sub(started))
+	defer func() {
+		timer.Stop()
+		f.room.remove(ticket, wait.servers)
+		waitingRequests.Dec()
+		waitSeconds.Update(time.Since(started).Seconds())
+	}()
+	select {
+	case <-ticket.Woken:
+	case <-timer.C:
+	case <-f.room.stopping:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (r *room) add(ticket *admitter.Ticket, servers []*registrar.Backend) bool {
+	standing := r.admitter.Standing(ticket.Request, time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queue.Add(ticket, standing, servers)
+}
+
+// remove ends the wait of a ticket. A ticket that was woken by a server and did not take the
+// room is followed by the next one.
+func (r *room) remove(ticket *admitter.Ticket, servers []*registrar.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue.Remove(ticket)
+	for _, server := range servers {
+		r.queue.Forget(server)
+	}
+}
+
+// wake lets the first request that waits for a server look for room again.
+func (r *room) wake(server *registrar.Backend, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for {
+		ticket, isLost := r.queue.Next(server, now)
+		if ticket == nil {
+			return
+		}
+		ticket.Woken <- struct{}{}
+		if !isLost {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/forwarder/room_test.go
@@ -0,0 +1,140 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/router"
+)
+
+// newCrowdedSystem returns an instance whose only server has requests of other instances.
+func newCrowdedSystem(t testing.TB, load int) *system {
+	s := newSystem(t)
+	s.setServers(server("n-1", "north"))
+	s.registrar.Find("n-1").RecordLoad(min(load, 2), max(load-2, 0), time.Now())
+	return s
+}
+
+// forwardTenant forwards a request of a tenant.
+func (s *system) forwardTenant(ctx context.Context, id string) (*forwarder.Call, error) {
+	call := s.newCall(id, "17", "/x")
+	call.Tenant = &router.Tenant{Name: "t"}
+	answer, err := s.Forward(ctx, call)
+	if err == nil {
+		_ = answer.Body.Close()
+	}
+	return call, err
+}
+
+// Where neither tenants compete nor servers tell the pace of their machines, a request is
+// refused by the same rule as before, and never waits.
+func TestWithoutTenantsAndPaceNothingChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		load := rapid.IntRange(0, 40).Draw(rt, "load")
+		priority := rapid.IntRange(0, 3).Draw(rt, "priority")
+		objective := time.Duration(rapid.IntRange(0, 8).Draw(rt, "objective")) * 100 * time.Millisecond
+		timeout := time.Duration(rapid.IntRange(1, 20).Draw(rt, "timeout")) * 100 * time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			s := newCrowdedSystem(t, load)
+			s.route.Priority, s.route.LatencyObjective, s.callerTimeout = priority, objective, timeout
+			usual := objective / 3
+			if objective == 0 {
+				usual = 100 * time.Millisecond
+			}
+			wait := time.Duration(float64(max(0, load+1-2)) / 2 * float64(usual))
+			expected := forwarder.NewDistances("north").To(forwarder.Location{Region: "north", FailureDomain: "north-a"}) + usual + wait
+			most := timeout
+			if priority > 0 && objective > 0 {
+				most = min(most, objective*3/2)
+			}
+			started := time.Now()
+			_, err := s.forwardRequest(t.Context(), "17")
+			require.Equal(t, wait > 0 && expected > most, err != nil)
+			require.Equal(t, started, time.Now())
+			var notRun *pollencrank.NotRunError
+			if errors.As(err, &notRun) {
+				require.Equal(t, pollencrank.ReasonQueueFull, notRun.Reason)
+				pause := min(max(wait, 150*time.Millisecond), 1500*time.Millisecond)
+				require.WithinRange(t, notRun.RetryAt, started.Add(pause/2), started.Add(pause*3/2))
+			}
+		})
+	})
+}
+
+func TestARequestWaitsForRoomNoLongerThanThatIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 12)
+		started := time.Now()
+		_, err := s.forwardTenant(t.Context(), "a")
+		require.True(t, pollencrank.IsNotRun(err))
+		require.Equal(t, s.route.LatencyObjective/8, time.Since(started))
+		var notRun *pollencrank.NotRunError
+		require.ErrorAs(t, err, &notRun)
+		require.Equal(t, pollencrank.ReasonQueueFull, notRun.Reason)
+		require.WithinRange(t, notRun.RetryAt, time.Now().Add(150*time.Millisecond), started.Add(s.callerTimeout/2))
+		require.Empty(t, s.sender.sent)
+	})
+}
+
+func TestARequestThatCannotBeAnsweredInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 40)
+		started := time.Now()
+		_, err := s.forwardTenant(t.Context(), "a")
+		require.True(t, pollencrank.IsNotRun(err))
+		require.Equal(t, started, time.Now())
+	})
+}
+
+// An answer with which the server tells that it has room wakes the request that waits.
+func TestAnAnswerWakesARequestThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 0)
+		backend := s.registrar.Find("n-1")
+		s.sender.reply = func(server string, n int, request *pollencrank.Request) (*pollencrank.Answer, error) {
+			if n == 1 {
+				time.Sleep(20 * time.Millisecond)
+				backend.RecordLoad(1, 0, time.Now())
+			}
+			return soundAnswer(server, request), nil
+		}
+		go func() { _, _ = s.forwardTenant(t.Context(), "first") }()
+		synctest.Wait()
+		backend.RecordLoad(2, 10, time.Now())
+		started := time.Now()
+		call, err := s.forwardTenant(t.Context(), "second")
+		require.NoError(t, err)
+		require.Equal(t, started.Add(20*time.Millisecond), call.Course.FirstSentAt)
+	})
+}
+
+func TestACallerThatLeavesEndsItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 12)
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		_, err := s.forwardTenant(ctx, "a")
+		require.True(t, pollencrank.IsNotRun(err))
+		require.Equal(t, 5*time.Millisecond, time.Since(started))
+	})
+}
+
+func TestAPlannedStopEndsTheWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 12)
+		time.AfterFunc(5*time.Millisecond, s.EndWaits)
+		started := time.Now()
+		_, err := s.forwardTenant(t.Context(), "a")
+		require.True(t, pollencrank.IsNotRun(err))
+		require.Equal(t, 5*time.Millisecond, time.Since(started))
+	})
+}
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -30,6 +30,7 @@
 	killAt := started.Add(time.Duration(float64(h.bounds.Load().StopGrace) * finishFraction))
 	h.isStopping.Store(true)
 	h.relayer.Stop()
+	h.forwarder.EndWaits()
 	h.roster.publish()
 	h.replicator.Close()
 	h.config.Log.Info("a planned stop begins", recorder.EventStopping.Attr(), slog.Int("inFlight", h.relayer.InFlight()))
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -40,6 +40,7 @@
 	EventRequestRefused        Event = 1401
 	EventOutcomeUnknown        Event = 1402
 	EventAnswerTruncated       Event = 1403
+	EventRoomShort             Event = 1410
 	EventClaimUnverifiable     Event = 1501
 	EventClaimsHandedOver      Event = 1502
 	EventCertificateReloaded   Event = 1601
@@ -111,6 +112,7 @@
 		{EventRequestRefused, slog.LevelInfo, "A request was refused and did not run."},
 		{EventOutcomeUnknown, slog.LevelWarn, "A request may have run; its answer was lost."},
 		{EventAnswerTruncated, slog.LevelWarn, "A backend server's answer broke off; the caller's connection was cut."},
+		{EventRoomShort, slog.LevelInfo, "There is too little room at the servers of a service; requests wait or are turned away."},
 		{EventClaimUnverifiable, slog.LevelWarn, "It cannot be known whether an idempotency key was used."},
 		{EventClaimsHandedOver, slog.LevelInfo, "Claims on idempotency keys moved to their next home."},
 		{EventCertificateReloaded, slog.LevelInfo, "A changed certificate is in use."},
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -265,6 +265,7 @@
 		Table:     table,
 		Route:     route,
 		ObjectKey: headers.ObjectKey,
+		ArrivedAt: now,
 		Request: &pollencrank.Request{
 			ID:            headers.RequestID,
 			Deadline:      now.Add(timeout),
