--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -35,7 +35,7 @@
 const (
 	// freeWaitDivisor divides a latency objective into the time for which a request may be
 	// held before it is offered to a server.
-	freeWaitDivisor = 8
+	freeWaitDivisor = 10
 	// shortQueueDivisor divides a latency objective into the wait at a server up to which a
 	// request runs although its answer will be late: the delay is not the queue's.
 	shortQueueDivisor = 4
