feat: room is kept for the urgent by what they ask for, and for kinds that starve

A rank that asked for one request in a hundred halved the queue of all less urgent ones. The part that is kept now follows what the urgent ask for. With drawn loads a third rank was served less than a quarter as often as all, which a test now draws; kinds that are due have a queue of their own length, and the others a shorter one meanwhile. Callers that full servers have turned away come back at different times.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,10 +4,11 @@
 // What is turned away is what costs callers least. A request runs at once where there is
 // room. Where there is none, it joins a server's queue as long as its answer is expected
 // within its latency objective: a late answer is worth less, and takes a slot from one that
-// would be in time. The less urgent a request is, the shorter is the queue that it may join,
-// unless its kind is served less often than it is due. A tenant that has had its fair share
-// gets only room that no other needs. What does not run waits for a moment that costs
-// nothing, and is then turned away with the time at which there is likely to be room.
+// would be in time. The less urgent a request is, the shorter is the queue that it may join;
+// a kind that is served much less often than all, or less than a less urgent one, is due and
+// goes first. A tenant that has had its fair share gets only room that no other needs. What
+// does not run waits for a moment that costs nothing, and is then turned away with the time
+// at which there is likely to be room.
 //
 // A request that comes back after a refusal is a new one: it neither gains nor loses a place.
 //
@@ -147,13 +148,13 @@
 func (a *Admitter) Start(r *Request, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.usagesOf(r, now).serve(r)
+	a.usagesOf(r, now).serve(r, now)
 }
 
 // Decide returns the verdict on a request that asks for room now.
 func (a *Admitter) Decide(r *Request, now time.Time) Decision {
 	if r.isLost(now) {
-		return Decision{Verdict: Refuse, Cause: CauseDeadline, At: a.returnAt(r, now)}
+		return Decision{Verdict: Refuse, Cause: CauseDeadline, At: a.ReturnAt(r, now)}
 	}
 	if r.Wait <= 0 || r.ObjectiveAt.IsZero() {
 		return Decision{Verdict: Run}
@@ -164,7 +165,7 @@
 	}
 	until := r.ArrivedAt.Add(r.objective() / freeWaitDivisor)
 	if r.IsStreamed || !now.Before(until) {
-		return Decision{Verdict: Refuse, Cause: cause, At: a.returnAt(r, now)}
+		return Decision{Verdict: Refuse, Cause: cause, At: a.ReturnAt(r, now)}
 	}
 	return Decision{Verdict: Wait, Cause: cause, At: until}
 }
@@ -174,14 +175,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used := a.usagesOf(r, now)
-	if used.isOverShare(now) {
+	if used.isOverShare() {
 		return CauseTenant
 	}
-	limit := r.maxWait(now)
+	limit, due := r.maxWait(now), r.objective()/dueDivisor
+	isStarving := used.service.isStarving(used.kind)
+	switch {
+	case isStarving || used.isBehind():
+		limit = max(limit, due)
+	case used.service.hasStarving:
+		limit = min(limit, time.Duration(float64(due)*keptShortPart))
+	}
 	if r.Wait > limit {
 		return CauseObjective
 	}
-	if used.isBehind() || r.Wait <= limit>>used.moreUrgent() {
+	if isStarving || r.Wait <= used.shorten(limit) {
 		return ""
 	}
 	return CausePriority
@@ -198,13 +206,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used := a.usagesOf(r, now)
-	return Standing{IsBehind: used.isBehind(), IsOverShare: used.isOverShare(now)}
+	return Standing{IsBehind: used.service.isStarving(used.kind) || used.isBehind(), IsOverShare: used.isOverShare()}
 }
 
-// returnAt returns when the caller of a refused request may come back: not before the
+// ReturnAt returns when the caller of a refused request may come back: not before the
 // queue has become as short as the request needs it, and not so late that no time is
 // left for the answer. Callers that are refused together are spread over that time.
-func (a *Admitter) returnAt(r *Request, now time.Time) time.Time {
+func (a *Admitter) ReturnAt(r *Request, now time.Time) time.Time {
 	excess := r.Wait
 	if !r.ObjectiveAt.IsZero() {
 		excess = min(excess, r.Expected-r.objective())
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -11,8 +11,12 @@
 
 // stream returns jobs of one kind that arrive evenly over ten seconds.
 func stream(perSecond int, kind string, priority int, work time.Duration) []*job {
+	return streamFor(10, perSecond, kind, priority, work)
+}
+
+func streamFor(seconds, perSecond int, kind string, priority int, work time.Duration) []*job {
 	var jobs []*job
-	for i := range 10 * perSecond {
+	for i := range seconds * perSecond {
 		jobs = append(jobs, &job{
 			kind: kind, priority: priority, at: time.Duration(i) * time.Second / time.Duration(perSecond) / tick * tick,
 			work: work, objective: 300 * time.Millisecond, deadline: 2 * time.Second, returns: 1,
@@ -148,3 +152,17 @@
 	require.Greater(t, byKind["k"].servedShare(), 0.4)
 	require.Greater(t, count(jobs, everything)[struct{}{}].inTime, 800.0)
 }
+
+// Whatever the kinds ask for, none starves and the order of the priorities holds.
+func TestNothingStarves(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	for range 12 {
+		var jobs []*job
+		for priority := range 2 + random.IntN(3) {
+			perSecond := 20 + random.IntN(150)
+			jobs = append(jobs, streamFor(6, perSecond, fmt.Sprint("kind", priority), priority, usualWork*time.Duration(1+random.IntN(3))/2)...)
+		}
+		play(newPool(), jobs)
+		requireOrder(t, jobs)
+	}
+}
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -49,6 +50,10 @@
 	return time.Duration(queued * float64(p.usual) * p.slowness)
 }
 
+func (p *pool) isIdle() bool {
+	return !slices.ContainsFunc(p.queues, func(q []*running) bool { return len(q) > 0 })
+}
+
 func (p *pool) best() int {
 	best := 0
 	for i := range p.queues {
@@ -159,6 +164,9 @@
 		for _, j := range due {
 			offer(j, now)
 		}
+		if len(pending) == 0 && p.isIdle() && queue.Len() == 0 {
+			return
+		}
 	}
 }
 
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -18,10 +18,21 @@
 	minOffered = 10
 	// keptShare is the part of the served share of all requests that a kind is served at
 	// least.
-	keptShare = 0.4
+	keptShare = 0.33
 	// maxInversion is by how much the served share of a less urgent rank may exceed that of
 	// a more urgent one.
 	maxInversion = 0.02
+	// maxEarnedInversion is by how much the earned share of a less urgent rank may exceed that
+	// of a more urgent one, and lateWorth the worth of a late answer, as a part of one in time.
+	maxEarnedInversion = 0.08
+	lateWorth          = 0.2
+	// dueDivisor divides a latency objective into the wait that a request may have that is
+	// due. While a kind starves, the others may have a part of it.
+	dueDivisor    = 2
+	keptShortPart = 0.75
+	// aheadDivisor divides the longest queue of a rank while a more urgent one is served less
+	// often.
+	aheadDivisor = 4
 	// maxPriorities is the number of ranks that are told apart.
 	maxPriorities = 8
 	// shareSlack is the part by which a tenant may exceed its fair share.
@@ -33,7 +44,9 @@
 // usage is what was offered and served lately: numbers of requests, or seconds of work.
 type usage struct {
 	offered, served float64
-	at              time.Time
+	// earned is the worth of what was served. It is not counted for tenants.
+	earned float64
+	at     time.Time
 }
 
 // advance forgets what has become old by now.
@@ -45,12 +58,16 @@
 	remaining := math.Exp2(-age.Seconds() / usageHalfLife.Seconds())
 	u.offered *= remaining
 	u.served *= remaining
+	u.earned *= remaining
 	u.at = now
 }
 
 // servedShare returns the share of what was offered that was served.
 func (u *usage) servedShare() float64 { return u.served / max(u.offered, 1e-9) }
 
+// earnedShare returns the share of their worth that requests earn by what was expected.
+func (u *usage) earnedShare() float64 { return u.earned / max(u.offered, 1e-9) }
+
 // serviceUsage is what was offered and served lately of one service.
 type serviceUsage struct {
 	all     usage
@@ -59,7 +76,9 @@
 	tenants map[string]*usage
 	// fairShare is the work up to which every tenant is served before any gets more. It is
 	// infinite as long as all are served.
-	fairShare   float64
+	fairShare float64
+	// hasStarving says that a kind is served much less often than all.
+	hasStarving bool
 	refreshedAt time.Time
 	demands     []float64
 }
@@ -78,6 +97,7 @@
 		service = &serviceUsage{fairShare: math.Inf(1), kinds: map[string]*usage{}, tenants: map[string]*usage{}}
 		a.services[r.Service] = service
 	}
+	service.refresh(now)
 	service.all.advance(now)
 	for i := range service.ranks {
 		service.ranks[i].advance(now)
@@ -109,59 +129,94 @@
 	}
 }
 
-func (u usages) serve(r *Request) {
-	u.service.all.served++
-	u.kind.served++
-	u.service.ranks[u.rank].served++
+func (u usages) serve(r *Request, now time.Time) {
+	worth := lateWorth
+	if r.IsInTime(now) {
+		worth = 1
+	}
+	for _, used := range [...]*usage{&u.service.all, u.kind, &u.service.ranks[u.rank]} {
+		used.served++
+		used.earned += worth
+	}
 	if u.tenant != nil {
 		u.tenant.served += r.Work.Seconds()
 	}
 }
 
-// isBehind reports whether the request's kind is served less often than it is due: much
-// less often than all, or less often than a less urgent rank.
+// isStarving reports whether a kind is served much less often than all.
+func (s *serviceUsage) isStarving(kind *usage) bool {
+	return kind.offered >= minOffered && kind.servedShare() < keptShare*s.all.servedShare()
+}
+
+// isBehind reports whether the request's rank is served less often than a less urgent one.
 func (u usages) isBehind() bool {
-	if u.kind.offered >= minOffered && u.kind.servedShare() < keptShare*u.service.all.servedShare() {
-		return true
-	}
-	own := u.service.ranks[u.rank]
-	if own.offered < minOffered {
-		return false
+	own := &u.service.ranks[u.rank]
+	for i := range u.service.ranks[u.rank+1:] {
+		if own.isBehind(&u.service.ranks[u.rank+1+i]) {
+			return true
+		}
 	}
-	for _, other := range u.service.ranks[u.rank+1:] {
-		if other.offered >= minOffered && other.servedShare() > own.servedShare()+maxInversion {
+	return false
+}
+
+// isAhead reports whether a more urgent rank is served less often than the request's.
+func (u usages) isAhead() bool {
+	own := &u.service.ranks[u.rank]
+	for i := range u.service.ranks[:u.rank] {
+		if u.service.ranks[i].isBehind(own) {
 			return true
 		}
 	}
 	return false
 }
 
-// moreUrgent returns the number of more urgent ranks that ask for the same servers.
-func (u usages) moreUrgent() int {
-	count := 0
+// isBehind reports whether a rank is served less often, or earns less, than a less urgent one.
+func (u *usage) isBehind(lessUrgent *usage) bool {
+	if u.offered < minOffered || lessUrgent.offered < minOffered {
+		return false
+	}
+	return lessUrgent.servedShare() > u.servedShare()+maxInversion || lessUrgent.earnedShare() > u.earnedShare()+maxEarnedInversion
+}
+
+// shorten returns the part of the longest queue that is not kept for more urgent ranks. It
+// is the smaller, the more of the requests are theirs.
+func (u usages) shorten(longest time.Duration) time.Duration {
+	if u.isAhead() {
+		return longest / aheadDivisor
+	}
+	moreUrgent := 0.0
 	for _, other := range u.service.ranks[:u.rank] {
-		if other.offered >= 1 {
-			count++
-		}
+		moreUrgent += other.offered
 	}
-	return count
+	others := 1 - min(moreUrgent/max(u.service.all.offered, 1), 1)
+	return time.Duration(float64(longest) * others * others)
 }
 
 // isOverShare reports whether the request's tenant has had its fair share.
-func (u usages) isOverShare(now time.Time) bool {
+func (u usages) isOverShare() bool {
 	if u.tenant == nil {
 		return false
 	}
-	if now.Sub(u.service.refreshedAt) >= refreshInterval {
-		u.service.refreshShare(now)
-	}
 	return u.tenant.served > u.service.fairShare*(1+shareSlack)
 }
 
+// refresh computes what all requests have in common.
+func (s *serviceUsage) refresh(now time.Time) {
+	if now.Sub(s.refreshedAt) < refreshInterval {
+		return
+	}
+	s.refreshedAt = now
+	s.hasStarving = false
+	for _, kind := range s.kinds {
+		kind.advance(now)
+		s.hasStarving = s.hasStarving || s.isStarving(kind)
+	}
+	s.refreshShare(now)
+}
+
 // refreshShare computes the fair share of the tenants: the level at which the work that was
 // served suffices, if no tenant gets more than the level or than it asks for.
 func (s *serviceUsage) refreshShare(now time.Time) {
-	s.refreshedAt = now
 	s.demands = s.demands[:0]
 	served := 0.0
 	for name, u := range s.tenants {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -212,6 +212,7 @@
 	if lastAnswer != nil {
 		return lastAnswer, nil
 	}
+	f.setReturn(call, failure.Err(), time.Now())
 	return f.end(ctx, call, failure.Err())
 }
 
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -143,6 +143,19 @@
 	return err
 }
 
+// setReturn spreads the times at which callers come back whose requests were not run because
+// servers were full, if nothing says when there is room.
+func (f *Forwarder) setReturn(call *Call, err error, now time.Time) {
+	var notRun *pollencrank.NotRunError
+	if call.roomRequest == nil || !errors.As(err, &notRun) || !notRun.RetryAt.IsZero() {
+		return
+	}
+	switch notRun.Reason {
+	case pollencrank.ReasonAllShed, pollencrank.ReasonRetryBudget:
+		notRun.RetryAt = f.room.admitter.ReturnAt(call.roomRequest, now)
+	}
+}
+
 // reportShortage logs that requests to a service are turned away, at most once in a
 // reportInterval.
 func (f *Forwarder) reportShortage(call *Call, cause admitter.Cause, now time.Time) {
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -138,3 +138,24 @@
 		require.Equal(t, 5*time.Millisecond, time.Since(started))
 	})
 }
+
+// Callers of requests that full servers have refused come back at different times.
+func TestCallersThatServersTurnAwayComeBackAtDifferentTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.sender.reply = func(server string, _ int, _ *pollencrank.Request) (*pollencrank.Answer, error) {
+			return nil, shed(server)
+		}
+		times := map[time.Time]bool{}
+		for range 3 {
+			_, err := s.forwardTenant(t.Context(), "a")
+			var notRun *pollencrank.NotRunError
+			require.ErrorAs(t, err, &notRun)
+			if notRun.Reason == pollencrank.ReasonAllShed {
+				require.WithinRange(t, notRun.RetryAt, time.Now().Add(150*time.Millisecond), time.Now().Add(s.callerTimeout/2))
+				times[notRun.RetryAt] = true
+			}
+		}
+		require.Greater(t, len(times), 1)
+	})
+}
