--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -21,7 +21,6 @@
 	isHasty bool
 
 	request  admitter.Request
-	ticket   *admitter.Ticket
 	backAt   time.Duration
 	isServed bool
 	isInTime bool
@@ -96,6 +95,7 @@
 	sort.SliceStable(jobs, func(i, j int) bool { return jobs[i].at < jobs[j].at })
 	pending := append([]*job(nil), jobs...)
 	waiting := map[*admitter.Ticket]*job{}
+	var held []*admitter.Ticket
 	offer := func(j *job, at time.Duration) {
 		now, server := epoch.Add(at), p.best()
 		r := &j.request
@@ -118,6 +118,7 @@
 			t := &admitter.Ticket{Request: r, Woken: make(chan struct{}, 1)}
 			if queue.Add(t, a.Standing(r, now), []int{server}) {
 				waiting[t] = j
+				held = append(held, t)
 			}
 		case admitter.Refuse:
 			j.arrived = false
@@ -139,28 +140,22 @@
 				offer(j, now)
 			}
 		}
-		for _, j := range jobs {
-			if j.arrived && !j.isServed && j.backAt == now && now > 0 {
-				for t, other := range waiting {
-					if other == j {
-						queue.Remove(t)
-						delete(waiting, t)
-						offer(j, now)
-						break
-					}
-				}
+		for _, t := range slices.Clone(held) {
+			if j := waiting[t]; j != nil && j.backAt <= now {
+				queue.Remove(t)
+				delete(waiting, t)
+				offer(j, now)
 			}
 		}
-		rest := pending[:0]
-		due := []*job{}
-		for _, j := range pending {
-			if max(j.at, j.backAt) <= now {
+		held = slices.DeleteFunc(held, func(t *admitter.Ticket) bool { return waiting[t] == nil })
+		var due []*job
+		pending = slices.DeleteFunc(pending, func(j *job) bool {
+			isDue := max(j.at, j.backAt) <= now
+			if isDue {
 				due = append(due, j)
-			} else {
-				rest = append(rest, j)
 			}
-		}
-		pending = append([]*job(nil), rest...)
+			return isDue
+		})
 		for _, j := range due {
 			offer(j, now)
 		}
