feat: a request waits at an instance only while there may be room in time

An instance hears from one server less than once a second, so that most waits ended in a refusal, or made the answer late. A request now waits only if the queue of its server can have become short enough within the time that is free; otherwise it is refused at once.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -159,24 +159,25 @@
 	if r.Wait <= 0 || r.ObjectiveAt.IsZero() {
 		return Decision{Verdict: Run}
 	}
-	cause := a.check(r, now)
+	cause, excess := a.check(r, now)
 	if cause == "" {
 		return Decision{Verdict: Run}
 	}
 	until := r.ArrivedAt.Add(r.objective() / freeWaitDivisor)
-	if r.IsStreamed || !now.Before(until) {
+	if r.IsStreamed || !now.Before(until) || now.Add(excess).After(until) {
 		return Decision{Verdict: Refuse, Cause: cause, At: a.ReturnAt(r, now)}
 	}
 	return Decision{Verdict: Wait, Cause: cause, At: until}
 }
 
-// check returns why a request does not join a server's queue, or "" if it does.
-func (a *Admitter) check(r *Request, now time.Time) Cause {
+// check returns why a request does not join a server's queue, or "" if it does, and by how
+// much the queue is too long.
+func (a *Admitter) check(r *Request, now time.Time) (Cause, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used := a.usagesOf(r, now)
 	if used.isOverShare() {
-		return CauseTenant
+		return CauseTenant, r.Wait
 	}
 	limit, due := r.maxWait(now), r.objective()/dueDivisor
 	isStarving := used.service.isStarving(used.kind)
@@ -187,12 +188,15 @@
 		limit = min(limit, time.Duration(float64(due)*keptShortPart))
 	}
 	if r.Wait > limit {
-		return CauseObjective
+		return CauseObjective, r.Wait - limit
 	}
-	if isStarving || r.Wait <= used.shorten(limit) {
-		return ""
+	if !isStarving {
+		limit = used.shorten(limit)
 	}
-	return CausePriority
+	if r.Wait > limit {
+		return CausePriority, r.Wait - limit
+	}
+	return "", 0
 }
 
 // maxWait returns the time that the request may spend in a server's queue: what the latency
