--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,7 +4,7 @@
 // What is turned away is what costs callers least. A request runs at once where there is
 // room. Where there is none, it joins a server's queue as long as its answer is expected
 // within its latency objective: a late answer is worth less, and takes a slot from one that
-// would be in time. The less urgent a request is, the shorter is the queue that it may join;
+// would be in time, unless few others meet a queue. The less urgent a request is, the shorter is the queue that it may join;
 // a kind that is served much less often than all, or less than a less urgent one, is due and
 // goes first. A tenant that has had its fair share gets only room that no other needs. What
 // does not run waits for a moment that costs nothing, and is then turned away with the time
@@ -179,7 +179,7 @@
 	if used.isOverShare() {
 		return CauseTenant, r.Wait
 	}
-	limit, due := r.maxWait(now), r.objective()/dueDivisor
+	limit, due := r.maxWait(used.service.stretch(), now), r.objective()/dueDivisor
 	isStarving := used.service.isStarving(used.kind)
 	switch {
 	case isStarving || used.isBehind():
@@ -199,10 +199,12 @@
 	return "", 0
 }
 
-// maxWait returns the time that the request may spend in a server's queue: what the latency
-// objective leaves beside the work. If the work leaves nothing, a short queue does no harm.
-func (r *Request) maxWait(now time.Time) time.Duration {
-	return max(r.ObjectiveAt.Sub(now)-(r.Expected-r.Wait), r.objective()/shortQueueDivisor)
+// maxWait returns the time that the request may spend in a server's queue: what a multiple of
+// the latency objective leaves beside the work. If the work leaves nothing, a short queue
+// does no harm.
+func (r *Request) maxWait(stretch float64, now time.Time) time.Duration {
+	until := r.ArrivedAt.Add(time.Duration(float64(r.objective()) * stretch))
+	return max(until.Sub(now)-(r.Expected-r.Wait), r.objective()/shortQueueDivisor)
 }
 
 // Standing returns how a request stands among those that were served lately.
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -26,6 +26,9 @@
 	// of a more urgent one, and lateWorth the worth of a late answer, as a part of one in time.
 	maxEarnedInversion = 0.08
 	lateWorth          = 0.2
+	// maxStretch is the multiple of the latency objective that an expected time may reach if
+	// no other request meets a queue.
+	maxStretch = 1.5
 	// dueDivisor divides a latency objective into the wait that a request may have that is
 	// due. While a kind starves, the others may have a part of it.
 	dueDivisor    = 2
@@ -44,9 +47,10 @@
 // usage is what was offered and served lately: numbers of requests, or seconds of work.
 type usage struct {
 	offered, served float64
-	// earned is the worth of what was served. It is not counted for tenants.
-	earned float64
-	at     time.Time
+	// earned is the worth of what was served, and queued the number of requests that met a
+	// queue. They are not counted for tenants.
+	earned, queued float64
+	at             time.Time
 }
 
 // advance forgets what has become old by now.
@@ -59,6 +63,7 @@
 	u.offered *= remaining
 	u.served *= remaining
 	u.earned *= remaining
+	u.queued *= remaining
 	u.at = now
 }
 
@@ -99,10 +104,13 @@
 	}
 	service.refresh(now)
 	service.all.advance(now)
+	rank := rankOf(r.Priority)
 	for i := range service.ranks {
-		service.ranks[i].advance(now)
+		if i == rank || service.ranks[i].offered > 0 {
+			service.ranks[i].advance(now)
+		}
 	}
-	used := usages{service: service, rank: rankOf(r.Priority), kind: find(service.kinds, r.Kind, now)}
+	used := usages{service: service, rank: rank, kind: find(service.kinds, r.Kind, now)}
 	if r.Tenant != "" {
 		used.tenant = find(service.tenants, r.Tenant, now)
 	}
@@ -124,6 +132,9 @@
 	u.service.all.offered++
 	u.kind.offered++
 	u.service.ranks[u.rank].offered++
+	if r.Wait > 0 {
+		u.service.all.queued++
+	}
 	if u.tenant != nil {
 		u.tenant.offered += r.Work.Seconds()
 	}
@@ -143,6 +154,13 @@
 	}
 }
 
+// stretch returns the multiple of the latency objective that an expected time may reach. Where
+// few requests meet a queue, one that is late delays nobody; where all do, it delays one that
+// would be in time.
+func (s *serviceUsage) stretch() float64 {
+	return maxStretch - (maxStretch-1)*min(s.all.queued/max(s.all.offered, minOffered), 1)
+}
+
 // isStarving reports whether a kind is served much less often than all.
 func (s *serviceUsage) isStarving(kind *usage) bool {
 	return kind.offered >= minOffered && kind.servedShare() < keptShare*s.all.servedShare()
