--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -40,7 +40,7 @@
 	maxPriorities = 8
 	// shareSlack is the part by which a tenant may exceed its fair share.
 	shareSlack = 0.1
-	// forgottenBelow is the work, in seconds, below which a tenant is forgotten.
+	// forgottenBelow is what was offered lately below which a kind or a tenant is forgotten.
 	forgottenBelow = 1e-4
 )
 
@@ -225,8 +225,12 @@
 	}
 	s.refreshedAt = now
 	s.hasStarving = false
-	for _, kind := range s.kinds {
+	for name, kind := range s.kinds {
 		kind.advance(now)
+		if kind.offered < forgottenBelow {
+			delete(s.kinds, name)
+			continue
+		}
 		s.hasStarving = s.hasStarving || s.isStarving(kind)
 	}
 	s.refreshShare(now)
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -85,8 +85,8 @@
 			}
 			return chosen, err
 		}
-		if !f.awaitRoom(ctx, call, wait) {
-			return decision{}, pollencrank.NotRun(pollencrank.ReasonCallerGone, "the caller left while the request waited for room")
+		if err := f.awaitRoom(ctx, call, wait); err != nil {
+			return decision{}, err
 		}
 		now = time.Now()
 	}
@@ -184,12 +184,12 @@
 }
 
 // awaitRoom waits until there may be room for a call, or no longer than it may wait. It
-// reports false if the caller has left.
-func (f *Forwarder) awaitRoom(ctx context.Context, call *Call, wait *waitError) bool {
+// returns a NotRunError if the caller has left or the deadline has passed.
+func (f *Forwarder) awaitRoom(ctx context.Context, call *Call, wait *waitError) error {
 	ticket := &admitter.Ticket{Request: call.roomRequest, Bytes: int64(len(call.Body)), Woken: make(chan struct{}, 1)}
 	if !f.room.add(ticket, wait.servers) {
 		call.wasCrowdedOut = true
-		return true
+		return nil
 	}
 	started := time.Now()
 	waitingRequests.Inc()
@@ -205,9 +205,12 @@
 	case <-timer.C:
 	case <-f.room.stopping:
 	case <-ctx.Done():
-		return false
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return pollencrank.NotRun(pollencrank.ReasonDeadlinePassed, "the deadline passed while the request waited for room")
+		}
+		return pollencrank.NotRun(pollencrank.ReasonCallerGone, "the caller left while the request waited for room")
 	}
-	return true
+	return nil
 }
 
 func (r *room) add(ticket *admitter.Ticket, servers []*registrar.Backend) bool {
@@ -217,8 +220,7 @@
 	return r.queue.Add(ticket, standing, servers)
 }
 
-// remove ends the wait of a ticket. A ticket that was woken by a server and did not take the
-// room is followed by the next one.
+// remove ends the wait of a ticket.
 func (r *room) remove(ticket *admitter.Ticket, servers []*registrar.Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,3 +171,34 @@
 		require.Greater(t, len(times), 1)
 	})
 }
+
+// Of many requests at once, each is answered or is refused truly, and at least what there are
+// slots for is answered within the objective.
+func TestManyRequestsShareTheRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 0)
+		backend := s.registrar.Find("n-1")
+		s.sender.reply = func(server string, _ int, request *pollencrank.Request) (*pollencrank.Answer, error) {
+			time.Sleep(100 * time.Millisecond)
+			backend.RecordLoad(1, 0, time.Now())
+			return soundAnswer(server, request), nil
+		}
+		var calls sync.WaitGroup
+		var answered atomic.Int64
+		for i := range 200 {
+			time.Sleep(2 * time.Millisecond)
+			calls.Go(func() {
+				_, err := s.forwardTenant(t.Context(), fmt.Sprint("request-", i))
+				if err == nil {
+					answered.Add(1)
+				} else {
+					require.True(t, pollencrank.IsNotRun(err))
+				}
+			})
+		}
+		calls.Wait()
+		require.Len(t, s.sender.sent, int(answered.Load()), "what was refused has not been sent")
+		require.GreaterOrEqual(t, answered.Load(), int64(8))
+		require.Less(t, answered.Load(), int64(200))
+	})
+}
