--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -125,30 +125,27 @@
 	})
 }
 
-func TestACallerThatLeavesEndsItsWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newCrowdedSystem(t, crowded)
-		started := time.Now()
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
-		defer cancel()
-		_, err := s.forwardTenant(ctx, "a")
-		require.True(t, pollencrank.IsNotRun(err))
-		require.Equal(t, 5*time.Millisecond, time.Since(started))
-	})
-}
-
-func TestAPlannedStopEndsTheWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newCrowdedSystem(t, crowded)
-		time.AfterFunc(5*time.Millisecond, func() {
+func TestACallerThatLeavesAndAPlannedStopEndTheWait(t *testing.T) {
+	for name, end := range map[string]func(s *system, leave context.CancelFunc){
+		"a caller that leaves": func(_ *system, leave context.CancelFunc) { leave() },
+		"a planned stop": func(s *system, _ context.CancelFunc) {
 			s.registrar.Find("n-1").RecordLoad(2, 20, time.Now())
 			s.EndWaits()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrowdedSystem(t, crowded)
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				started := time.Now()
+				time.AfterFunc(5*time.Millisecond, func() { end(s, leave) })
+				_, err := s.forwardTenant(ctx, "a")
+				require.True(t, pollencrank.IsNotRun(err))
+				require.Equal(t, 5*time.Millisecond, time.Since(started))
+			})
 		})
-		started := time.Now()
-		_, err := s.forwardTenant(t.Context(), "a")
-		require.True(t, pollencrank.IsNotRun(err))
-		require.Equal(t, 5*time.Millisecond, time.Since(started))
-	})
+	}
 }
 
 // Callers of requests that full servers have refused come back at different times.
