feat: tenants' fair shares are weighed by their quotas

A tenant is now entitled to room in proportion to its quota; one without a quota counts as the average of those with one.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -56,6 +56,8 @@
 	Service string
 	// Tenant names the customer whose request it is, if there are any.
 	Tenant string
+	// Weight is what the tenant may ask for, as its quota says. Zero means that nothing does.
+	Weight float64
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority  int
 	ArrivedAt time.Time
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +132,29 @@
 	require.Equal(t, worst, byTenant["half"].servedShare(), "the flood costs the tenant that sends it")
 }
 
+// Of tenants of very different sizes that keep to their quotas, the worst tenth is served
+// about as well as the mean.
+func TestManyTenantsOfDifferentSizes(t *testing.T) {
+	jobs := stream(250, "k", 1, usualWork)
+	random := rand.New(rand.NewPCG(9, 10))
+	sizes := rand.NewZipf(random, 1.2, 1, 39)
+	for _, j := range jobs {
+		size := sizes.Uint64()
+		j.tenant, j.weight = fmt.Sprint("tenant", size), 100*math.Pow(float64(1+size), -1.2)
+	}
+	play(newPool(), jobs)
+	var shares []float64
+	mean := 0.0
+	byTenant := count(jobs, tenantOf)
+	for _, c := range byTenant {
+		shares = append(shares, c.servedShare())
+		mean += c.servedShare() / float64(len(byTenant))
+	}
+	slices.Sort(shares)
+	t.Log(mean, shares)
+	require.Greater(t, shares[len(shares)/10], 0.8*mean)
+}
+
 func TestServersAtAThirdOfTheirSpeed(t *testing.T) {
 	jobs := append(stream(50, "urgent", 1, usualWork/2), stream(50, "rest", 2, usualWork/2)...)
 	p := newPool()
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -12,6 +12,7 @@
 // job is a request of a simulated load.
 type job struct {
 	kind, tenant string
+	weight       float64
 	priority     int
 	at, work     time.Duration
 	objective    time.Duration
@@ -100,7 +101,7 @@
 		now, server := epoch.Add(at), p.best()
 		r := &j.request
 		if !j.arrived {
-			*r = admitter.Request{Kind: j.kind, Service: "parts", Tenant: j.tenant, Priority: j.priority,
+			*r = admitter.Request{Kind: j.kind, Service: "parts", Tenant: j.tenant, Weight: j.weight, Priority: j.priority,
 				ArrivedAt: now, ObjectiveAt: now.Add(j.objective), Deadline: epoch.Add(j.at + j.deadline)}
 		}
 		r.Wait, r.Work = p.wait(server), time.Duration(float64(j.work)*p.slowness)
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -50,7 +51,9 @@
 	// earned is the worth of what was served, and queued the number of requests that met a
 	// queue. They are not counted for tenants.
 	earned, queued float64
-	at             time.Time
+	// weight is what a tenant may ask for, or zero if nothing says so.
+	weight float64
+	at     time.Time
 }
 
 // advance forgets what has become old by now.
@@ -79,13 +82,15 @@
 	ranks   [maxPriorities]usage
 	kinds   map[string]*usage
 	tenants map[string]*usage
-	// fairShare is the work up to which every tenant is served before any gets more. It is
-	// infinite as long as all are served.
+	// fairShare is the work, for each unit of its weight, up to which every tenant is served
+	// before any gets more. It is infinite as long as all are served.
 	fairShare float64
+	// usualWeight is the weight of a tenant of which nothing says what it may ask for.
+	usualWeight float64
 	// hasStarving says that a kind is served much less often than all.
 	hasStarving bool
 	refreshedAt time.Time
-	demands     []float64
+	demands     []demand
 }
 
 // usages are those that one request counts for.
@@ -113,6 +118,7 @@
 	used := usages{service: service, rank: rank, kind: find(service.kinds, r.Kind, now)}
 	if r.Tenant != "" {
 		used.tenant = find(service.tenants, r.Tenant, now)
+		used.tenant.weight = r.Weight
 	}
 	return used
 }
@@ -215,7 +221,7 @@
 	if u.tenant == nil {
 		return false
 	}
-	return u.tenant.served > u.service.fairShare*(1+shareSlack)
+	return u.tenant.served > u.service.fairShare*u.service.weightOf(u.tenant)*(1+shareSlack)
 }
 
 // refresh computes what all requests have in common.
@@ -236,33 +242,59 @@
 	s.refreshShare(now)
 }
 
+// demand is the work that a tenant asks for, and its weight.
+type demand struct{ work, weight float64 }
+
+// weightOf returns the weight of a tenant.
+func (s *serviceUsage) weightOf(tenant *usage) float64 {
+	if tenant.weight > 0 {
+		return tenant.weight
+	}
+	return s.usualWeight
+}
+
 // refreshShare computes the fair share of the tenants: the level at which the work that was
-// served suffices, if no tenant gets more than the level or than it asks for.
+// served suffices, if no tenant gets more than the level by its weight or than it asks for.
 func (s *serviceUsage) refreshShare(now time.Time) {
-	s.demands = s.demands[:0]
-	served := 0.0
+	weights, weighted, served := 0.0, 0, 0.0
 	for name, u := range s.tenants {
 		u.advance(now)
 		if u.offered < forgottenBelow {
 			delete(s.tenants, name)
 			continue
 		}
-		s.demands = append(s.demands, u.offered)
 		served += u.served
+		if u.weight > 0 {
+			weights += u.weight
+			weighted++
+		}
+	}
+	s.usualWeight = 1
+	if weighted > 0 {
+		s.usualWeight = weights / float64(weighted)
+	}
+	s.demands = s.demands[:0]
+	for _, u := range s.tenants {
+		s.demands = append(s.demands, demand{work: u.offered, weight: s.weightOf(u)})
 	}
-	slices.Sort(s.demands)
 	s.fairShare = level(s.demands, served)
 }
 
-// level returns the level up to which sorted demands are met by what there is, or infinity
-// if it meets all.
-func level(demands []float64, supply float64) float64 {
-	for i, demand := range demands {
-		even := supply / float64(len(demands)-i)
-		if demand > even {
+// level returns the work for each unit of weight up to which demands are met by what there
+// is, or infinity if it meets all. It sorts the demands.
+func level(demands []demand, supply float64) float64 {
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.work*b.weight, b.work*a.weight) })
+	weight := 0.0
+	for _, d := range demands {
+		weight += d.weight
+	}
+	for _, d := range demands {
+		even := supply / weight
+		if d.work > even*d.weight {
 			return even
 		}
-		supply -= demand
+		supply -= d.work
+		weight -= d.weight
 	}
 	return math.Inf(1)
 }
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -106,7 +106,7 @@
 		ArrivedAt: arrivedAt, Deadline: call.Request.Deadline, IsStreamed: !call.hasWholeBody(),
 	}
 	if call.Tenant != nil {
-		request.Tenant = call.Tenant.Name
+		request.Tenant, request.Weight = call.Tenant.Name, call.Tenant.Quota.PerSecond
 	}
 	if call.Route.LatencyObjective > 0 {
 		request.ObjectiveAt = arrivedAt.Add(call.Route.LatencyObjective)
