--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -295,6 +295,7 @@
 		Route:     route,
 		Tenant:    tenant,
 		ObjectKey: headers.ObjectKey,
+		ArrivedAt: now,
 		Request: &pollencrank.Request{
 			ID:            headers.RequestID,
 			Deadline:      now.Add(timeout),
