fix: a request stays under the rule of admission with which it began

Cause: whether room is shared was asked twice for each request. If servers started to tell their pace in between, the second answer used a request that had not been stated, and the instance panicked. Change: the check follows what was stated at the beginning. TestAServiceThatStartsToTellItsPace panicked before and passes.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -58,7 +58,7 @@
 // long as callers wait, every answer would be late; with short queues the requests that
 // are admitted are answered in time.
 func (f *Forwarder) admit(call *Call, candidates *candidateSet, chosen decision, now time.Time, attempt int) error {
-	if attempt == 1 && f.sharesRoom(call) {
+	if attempt == 1 && call.roomRequest != nil {
 		return f.admitToRoom(call, candidates, chosen, now)
 	}
 	backend, choice := chosen.backend, chosen.choice
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -84,8 +84,10 @@
 	callerTimeout time.Duration
 	// serversCrash says that a server whose connection is lost is reported as down.
 	serversCrash atomic.Bool
-	log          logBuffer
-	broadcasts   chan isolator.Record
+	// tellsPace, if set, reports whether servers tell the pace of their machines.
+	tellsPace  func() bool
+	log        logBuffer
+	broadcasts chan isolator.Record
 }
 
 // logBuffer holds what was logged.
@@ -148,6 +150,7 @@
 			Broadcast: func(r isolator.Record) { s.broadcasts <- r },
 		},
 		Suspended: func() time.Duration { return time.Duration(s.suspended.Add(int64(s.suspensionPerCall))) },
+		TellsPace: func(string) bool { return s.tellsPace != nil && s.tellsPace() },
 		Log:       slog.New(slog.NewTextHandler(&s.log, nil)),
 	})
 	s.route = router.Route{
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -75,6 +75,20 @@
 	})
 }
 
+// A request stays under the rule with which it began while its service starts to tell its pace.
+func TestAServiceThatStartsToTellItsPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 0)
+		asked := 0
+		s.tellsPace = func() bool {
+			asked++
+			return asked > 1
+		}
+		_, err := s.forwardRequest(t.Context(), "17")
+		require.NoError(t, err)
+	})
+}
+
 func TestARequestWaitsForRoomNoLongerThanThatIsFree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newCrowdedSystem(t, crowded)
