fix: free room is used also where the answer is expected after the deadline

Cause: an expected time is an estimate, and the check of the deadline came before the one for free room. A request with a short deadline was refused although a server was idle, and the estimate never changed. Change: free room goes first. TestFreeRoomIsUsedWhateverIsExpected failed before and passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -155,10 +155,14 @@
 
 // Decide returns the verdict on a request that asks for room now.
 func (a *Admitter) Decide(r *Request, now time.Time) Decision {
+	if r.Wait <= 0 {
+		// Free room would be lost, and what is expected is only an estimate.
+		return Decision{Verdict: Run}
+	}
 	if r.isLost(now) {
 		return Decision{Verdict: Refuse, Cause: CauseDeadline, At: a.ReturnAt(r, now)}
 	}
-	if r.Wait <= 0 || r.ObjectiveAt.IsZero() {
+	if r.ObjectiveAt.IsZero() {
 		return Decision{Verdict: Run}
 	}
 	cause, excess := a.check(r, now)
