fix: a rank that is ahead never joins a longer queue for that

Cause: a rank ahead of a more urgent one got a quarter of the longest queue in place of the part that the more urgent leave, which is longer where most requests are more urgent. Change: being ahead takes a quarter of the part; half of the objective holds after the part, for a rank that is behind and not ahead of a more urgent one. Both new tests failed before and pass.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -199,6 +199,9 @@
 	if !isStarving {
 		limit = used.shorten(limit)
 	}
+	if used.isBehind() && !used.isAhead() {
+		limit = max(limit, due)
+	}
 	if r.Wait > limit {
 		return CausePriority, r.Wait - limit
 	}
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -32,3 +32,56 @@
 	require.Equal(t, admitter.Refuse, decision.Verdict)
 	require.Equal(t, admitter.CauseDeadline, decision.Cause)
 }
+
+// record counts requests of a rank, of which some were served.
+func record(a *admitter.Admitter, r *admitter.Request, asked, served int) {
+	for i := range asked {
+		a.Arrive(r, epoch)
+		if i < served {
+			a.Start(r, epoch)
+		}
+	}
+}
+
+// longestWait returns the longest queue that a request of a rank may join.
+func longestWait(a *admitter.Admitter, r *admitter.Request) time.Duration {
+	work := r.Work
+	for wait := time.Second; wait > 0; wait -= ms {
+		r.Wait, r.Expected = wait, wait+work
+		if a.Decide(r, epoch).Verdict == admitter.Run {
+			return wait
+		}
+	}
+	return 0
+}
+
+// ranks returns a request for each of some priorities.
+func ranks(n int) []*admitter.Request {
+	requests := make([]*admitter.Request, n)
+	for priority := range requests {
+		requests[priority] = newRequest(priority, 300*ms, 0, 20*ms)
+		requests[priority].Kind = string(rune('a' + priority))
+	}
+	return requests
+}
+
+func TestBeingAheadShortensTheQueueHoweverManyAreMoreUrgent(t *testing.T) {
+	for _, urgent := range []int{20, 60, 200} {
+		even, ahead, r := newAdmitter(), newAdmitter(), ranks(2)
+		record(even, r[0], urgent, urgent)
+		record(ahead, r[0], urgent, urgent/2)
+		record(even, r[1], 40, 40)
+		record(ahead, r[1], 40, 40)
+		require.LessOrEqual(t, longestWait(ahead, r[1]), longestWait(even, r[1])/4+ms)
+	}
+}
+
+func TestARankThatIsBehindMayWaitHalfOfItsObjective(t *testing.T) {
+	a, r := newAdmitter(), ranks(3)
+	record(a, r[0], 80, 80)
+	record(a, r[1], 40, 20)
+	record(a, r[2], 20, 20)
+	require.Equal(t, 150*ms, longestWait(a, r[1]))
+	record(a, r[0], 160, 0)
+	require.Less(t, longestWait(a, r[1]), 150*ms, "it is ahead of a more urgent one as well")
+}
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -203,10 +203,11 @@
 }
 
 // shorten returns the part of the longest queue that is not kept for more urgent ranks. It
-// is the smaller, the more of the requests are theirs.
+// is the smaller, the more of the requests are theirs, and smaller still while one of them is
+// served less often.
 func (u usages) shorten(longest time.Duration) time.Duration {
 	if u.isAhead() {
-		return longest / aheadDivisor
+		longest /= aheadDivisor
 	}
 	moreUrgent := 0.0
 	for _, other := range u.service.ranks[:u.rank] {
