fix: a tenant's fair share follows what all tenants are served

Cause: the share was an amount of work up to 100 ms old, compared with live work, so that a lone or a growing tenant was turned away. Change: the share is a part of the tenants' work, compared with the live total. TestServedWorkBetweenTwoComputationsOfTheShare failed before and passes.

--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -85,3 +85,26 @@
 	record(a, r[0], 160, 0)
 	require.Less(t, longestWait(a, r[1]), 150*ms, "it is ahead of a more urgent one as well")
 }
+
+// Between two computations of the fair share, what tenants are served counts for the total too.
+func TestServedWorkBetweenTwoComputationsOfTheShare(t *testing.T) {
+	for _, tenants := range []int{1, 2} {
+		a, r := newAdmitter(), ranks(2)
+		for i := range tenants {
+			r[i].Tenant = string(rune('a' + i))
+			record(a, r[i], 200, 50)
+		}
+		now := epoch.Add(100 * ms)
+		require.False(t, a.Standing(r[0], now).IsOverShare)
+		for range 20 {
+			for i := range tenants {
+				a.Start(r[i], now)
+			}
+		}
+		require.False(t, a.Standing(r[0], now).IsOverShare, "all %d tenants were served alike", tenants)
+		for range 50 {
+			a.Start(r[0], now)
+		}
+		require.Equal(t, tenants > 1, a.Standing(r[0], now).IsOverShare)
+	}
+}
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -82,8 +82,11 @@
 	ranks   [maxPriorities]usage
 	kinds   map[string]*usage
 	tenants map[string]*usage
-	// fairShare is the work, for each unit of its weight, up to which every tenant is served
-	// before any gets more. It is infinite as long as all are served.
+	// work is the work of all tenants. It is counted with each of theirs, so that a part of it
+	// stays comparable between two refreshes.
+	work usage
+	// fairShare is the part of the tenants' work, for each unit of its weight, up to which every
+	// tenant is served before any gets more. It is infinite as long as all are served.
 	fairShare float64
 	// usualWeight is the weight of a tenant of which nothing says what it may ask for.
 	usualWeight float64
@@ -109,6 +112,7 @@
 	}
 	service.refresh(now)
 	service.all.advance(now)
+	service.work.advance(now)
 	rank := rankOf(r.Priority)
 	for i := range service.ranks {
 		if i == rank || service.ranks[i].offered > 0 {
@@ -157,6 +161,7 @@
 	}
 	if u.tenant != nil {
 		u.tenant.served += r.Work.Seconds()
+		u.service.work.served += r.Work.Seconds()
 	}
 }
 
@@ -222,7 +227,8 @@
 	if u.tenant == nil {
 		return false
 	}
-	return u.tenant.served > u.service.fairShare*u.service.weightOf(u.tenant)*(1+shareSlack)
+	fair := u.service.fairShare * u.service.work.served * u.service.weightOf(u.tenant)
+	return u.tenant.served > fair*(1+shareSlack)
 }
 
 // refresh computes what all requests have in common.
@@ -278,7 +284,11 @@
 	for _, u := range s.tenants {
 		s.demands = append(s.demands, demand{work: u.offered, weight: s.weightOf(u)})
 	}
-	s.fairShare = level(s.demands, served)
+	s.work.served, s.work.at = served, now
+	s.fairShare = math.Inf(1)
+	if served > 0 {
+		s.fairShare = level(s.demands, served) / served
+	}
 }
 
 // level returns the work for each unit of weight up to which demands are met by what there
