fix: a choice allocates nothing and an answer takes no shared lock

Cause: the error of a request that waits kept a slice of the candidates, which moved those of every choice to the heap; and every answer took the lock of the queue, also where nothing waited. Change: the error holds a copy; the number of waiting requests is read first. Both new tests failed before (one allocation; a timeout at the lock) and pass.

--- a/forwarder/choose_bench_test.go
+++ b/forwarder/choose_bench_test.go
@@ -52,6 +52,36 @@
 	}
 }
 
+// A choice allocates nothing where room is not shared.
+func TestAChoiceAllocatesNothing(t *testing.T) {
+	servers := registrar.New(registrar.Config{Log: slog.New(slog.DiscardHandler)})
+	servers.Servers().Reset([]follower.Item[registrar.Server]{{Name: "n-1", Value: registrar.Server{
+		ID: "n-1", Service: "parts", Address: "n-1", FailureDomain: "north-a", Region: "north", Slots: 5,
+	}}})
+	membership := apportioner.NewMembership(apportioner.MembershipConfig{})
+	f := New(Config{
+		Region: "north", Regions: 1, Registrar: servers, Warmer: warmer.New(membership), Splitter: router.NewSplitter(),
+		Budgets: NewBudgets(BudgetsConfig{Membership: membership}), Distances: NewDistances("north"),
+	})
+	call := &Call{
+		Route: &router.Route{Name: "r", LatencyObjective: time.Second}, ObjectKey: "x", service: router.Service{Name: "parts"},
+		Request: &pollencrank.Request{Deadline: time.Now().Add(time.Hour)},
+	}
+	now := time.Now()
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		_, err := f.choose(t.Context(), call, now, 1)
+		require.NoError(t, err)
+	}))
+}
+
+// An answer takes no lock that all calls share unless a request waits.
+func TestAnAnswerTakesNoLockWhereNothingWaits(t *testing.T) {
+	r := newRoom()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wake(nil, time.Now())
+}
+
 // BenchmarkChooseLimited measures the refusal of a request when every server names a rate
 // limit and none has a token left.
 func BenchmarkChooseLimited(b *testing.B) {
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,6 +36,8 @@
 	admitter *admitter.Admitter
 	stopping chan struct{}
 	stopOnce sync.Once
+	// waiting is the number of requests that wait, known without the lock.
+	waiting atomic.Int64
 
 	mu    sync.Mutex
 	queue *admitter.Queue[*registrar.Backend]
@@ -131,7 +134,8 @@
 		return nil
 	case admitter.Wait:
 		if !f.room.isStopping() && !call.wasCrowdedOut {
-			return &waitError{until: decided.At, servers: candidates.backends[:candidates.count]}
+			// The copy keeps the candidates of every other call off the heap.
+			return &waitError{until: decided.At, servers: append([]*registrar.Backend(nil), candidates.backends[:candidates.count]...)}
 		}
 	}
 	f.reportShortage(call, decided.Cause, now)
@@ -217,7 +221,11 @@
 	standing := r.admitter.Standing(ticket.Request, time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.Add(ticket, standing, servers)
+	isAdded := r.queue.Add(ticket, standing, servers)
+	if isAdded {
+		r.waiting.Add(1)
+	}
+	return isAdded
 }
 
 // remove ends the wait of a ticket.
@@ -225,6 +233,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.queue.Remove(ticket)
+	r.waiting.Add(-1)
 	for _, server := range servers {
 		r.queue.Forget(server)
 	}
@@ -232,6 +241,9 @@
 
 // wake lets the first request that waits for a server look for room again.
 func (r *room) wake(server *registrar.Backend, now time.Time) {
+	if r.waiting.Load() == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for {
