fix: a request that is not held is told when to come back like any other

Cause: where too many wait, or at a stop, the refusal named the end of the wait as the time to come back, within 30 ms, alike for all, and another cause. Change: the cause is held and the time that of any refusal, spread. TestARequestThatIsNotHeldMayComeBackLater failed before and passes.

--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -133,7 +133,9 @@
 	case admitter.Run:
 		return nil
 	case admitter.Wait:
-		if !f.room.isStopping() && !call.wasCrowdedOut {
+		if f.room.isStopping() || call.wasCrowdedOut {
+			decided.Cause, decided.At = admitter.CauseHeld, f.room.admitter.ReturnAt(r, now)
+		} else {
 			// The copy keeps the candidates of every other call off the heap.
 			return &waitError{until: decided.At, servers: append([]*registrar.Backend(nil), candidates.backends[:candidates.count]...)}
 		}
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -139,6 +139,24 @@
 	})
 }
 
+// A request that may not wait although others may is told when to come back like any other.
+func TestARequestThatIsNotHeldMayComeBackLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		times := map[time.Time]bool{}
+		for range 3 {
+			s := newCrowdedSystem(t, crowded)
+			s.EndWaits()
+			_, err := s.forwardTenant(t.Context(), "a")
+			var notRun *pollencrank.NotRunError
+			require.ErrorAs(t, err, &notRun)
+			require.Contains(t, notRun.Error(), "(held)")
+			require.WithinRange(t, notRun.RetryAt, time.Now().Add(150*time.Millisecond), time.Now().Add(s.callerTimeout/2))
+			times[notRun.RetryAt] = true
+		}
+		require.Greater(t, len(times), 1)
+	})
+}
+
 func TestACallerThatLeavesAndAPlannedStopEndTheWait(t *testing.T) {
 	for name, end := range map[string]func(s *system, leave context.CancelFunc){
 		"a caller that leaves": func(_ *system, leave context.CancelFunc) { leave() },
