fix: kinds with long objectives, or with none, leave room for the others

Cause: a queue's limit was a part of each kind's own objective, while all share the server's queue, and a request without an objective skipped every rule. Change: a less urgent rank joins no longer queue than the shortest objective of the more urgent kinds seen lately allows, and while a kind starves the others none longer than its objective allows; a deadline stands in for a missing objective.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -72,8 +72,14 @@
 	Expected, Wait, Work time.Duration
 }
 
-// objective returns the time that the latency objective allows from the arrival.
-func (r *Request) objective() time.Duration { return r.ObjectiveAt.Sub(r.ArrivedAt) }
+// objective returns the time that the latency objective allows from the arrival, or the
+// deadline where there is no objective.
+func (r *Request) objective() time.Duration {
+	if r.ObjectiveAt.IsZero() {
+		return r.Deadline.Sub(r.ArrivedAt)
+	}
+	return r.ObjectiveAt.Sub(r.ArrivedAt)
+}
 
 // IsInTime reports whether the answer is expected within the latency objective.
 func (r *Request) IsInTime(now time.Time) bool {
@@ -162,9 +168,6 @@
 	if r.isLost(now) {
 		return Decision{Verdict: Refuse, Cause: CauseDeadline, At: a.ReturnAt(r, now)}
 	}
-	if r.ObjectiveAt.IsZero() {
-		return Decision{Verdict: Run}
-	}
 	cause, excess := a.check(r, now)
 	if cause == "" {
 		return Decision{Verdict: Run}
@@ -191,6 +194,7 @@
 	case isStarving || used.isBehind():
 		limit = max(limit, due)
 	case used.service.hasStarving:
+		due = min(due, used.service.starvingObjective/dueDivisor)
 		limit = min(limit, time.Duration(float64(due)*keptShortPart))
 	}
 	if r.Wait > limit {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -96,6 +96,26 @@
 	require.Greater(t, count(jobs, kindOf)["urgent"].worth(), 0.8)
 }
 
+// Kinds with any objectives, or with none, meet in the same queues.
+func TestAKindWithALongObjectiveLeavesRoomForOthers(t *testing.T) {
+	for _, objective := range []time.Duration{300 * time.Millisecond, time.Second, 5 * time.Second, 0} {
+		for _, priority := range []int{0, 3} {
+			jobs := stream(60, "urgent", 0, usualWork)
+			batch := stream(150, "batch", priority, usualWork)
+			for _, j := range batch {
+				j.objective, j.deadline = objective, 10*time.Second
+			}
+			jobs = append(jobs, batch...)
+			play(newPool(), jobs)
+			t.Logf("objective %s", objective)
+			byKind := count(jobs, kindOf)
+			t.Log(priority, byKind["urgent"].servedShare(), byKind["urgent"].worth(), byKind["batch"].servedShare())
+			requireOrder(t, jobs)
+			require.Greater(t, byKind["urgent"].servedShare(), count(jobs, everything)[struct{}{}].servedShare()/4)
+		}
+	}
+}
+
 func TestAFloodOfTheMostUrgent(t *testing.T) {
 	jobs := append(stream(400, "flood", 0, usualWork), stream(30, "rest", 3, usualWork)...)
 	play(newPool(), jobs)
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -108,3 +108,13 @@
 		require.Equal(t, tenants > 1, a.Standing(r[0], now).IsOverShare)
 	}
 }
+
+// Shares and ranks bind a request without a latency objective too.
+func TestARequestWithoutAnObjectiveSkipsNoRule(t *testing.T) {
+	a, r := newAdmitter(), ranks(2)
+	r[1].ObjectiveAt = time.Time{}
+	record(a, r[0], 60, 30)
+	record(a, r[1], 60, 60)
+	a.Standing(r[1], epoch.Add(100*ms))
+	require.Less(t, longestWait(a, r[1]), 75*ms)
+}
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -80,7 +80,8 @@
 				continue
 			}
 			took := now - r.job.at
-			r.job.isServed, r.job.isInTime = took <= r.job.deadline, took <= r.job.objective
+			r.job.isServed = took <= r.job.deadline
+			r.job.isInTime = r.job.isServed && (r.job.objective == 0 || took <= r.job.objective)
 			finished = append(finished, i)
 		}
 		p.queues[i] = kept
@@ -102,7 +103,10 @@
 		r := &j.request
 		if !j.arrived {
 			*r = admitter.Request{Kind: j.kind, Service: "parts", Tenant: j.tenant, Weight: j.weight, Priority: j.priority,
-				ArrivedAt: now, ObjectiveAt: now.Add(j.objective), Deadline: epoch.Add(j.at + j.deadline)}
+				ArrivedAt: now, Deadline: epoch.Add(j.at + j.deadline)}
+			if j.objective > 0 {
+				r.ObjectiveAt = now.Add(j.objective)
+			}
 		}
 		r.Wait, r.Work = p.wait(server), time.Duration(float64(j.work)*p.slowness)
 		r.Expected = r.Wait + r.Work
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -53,7 +53,10 @@
 	earned, queued float64
 	// weight is what a tenant may ask for, or zero if nothing says so.
 	weight float64
-	at     time.Time
+	// objective and rank are those of the last request of a kind.
+	objective time.Duration
+	rank      int
+	at        time.Time
 }
 
 // advance forgets what has become old by now.
@@ -92,8 +95,13 @@
 	usualWeight float64
 	// hasStarving says that a kind is served much less often than all.
 	hasStarving bool
-	refreshedAt time.Time
-	demands     []demand
+	// objectives are the shortest objectives of the kinds of each rank, and starvingObjective
+	// that of the kinds that starve. A server's queue is shared by kinds with any objective, so
+	// that parts of each kind's own would leave nothing to those with short ones.
+	objectives        [maxPriorities]time.Duration
+	starvingObjective time.Duration
+	refreshedAt       time.Time
+	demands           []demand
 }
 
 // usages are those that one request counts for.
@@ -141,6 +149,7 @@
 func (u usages) offer(r *Request) {
 	u.service.all.offered++
 	u.kind.offered++
+	u.kind.objective, u.kind.rank = r.objective(), u.rank
 	u.service.ranks[u.rank].offered++
 	if r.Wait > 0 {
 		u.service.all.queued++
@@ -211,6 +220,9 @@
 // is the smaller, the more of the requests are theirs, and smaller still while one of them is
 // served less often.
 func (u usages) shorten(longest time.Duration) time.Duration {
+	for _, objective := range u.service.objectives[:u.rank] {
+		longest = min(longest, objective)
+	}
 	if u.isAhead() {
 		longest /= aheadDivisor
 	}
@@ -237,14 +249,22 @@
 		return
 	}
 	s.refreshedAt = now
-	s.hasStarving = false
+	s.hasStarving, s.starvingObjective = false, math.MaxInt64
+	for rank := range s.objectives {
+		s.objectives[rank] = math.MaxInt64
+	}
 	for name, kind := range s.kinds {
 		kind.advance(now)
 		if kind.offered < forgottenBelow {
 			delete(s.kinds, name)
 			continue
 		}
-		s.hasStarving = s.hasStarving || s.isStarving(kind)
+		if kind.offered >= minOffered {
+			s.objectives[kind.rank] = min(s.objectives[kind.rank], kind.objective)
+		}
+		if s.isStarving(kind) {
+			s.hasStarving, s.starvingObjective = true, min(s.starvingObjective, kind.objective)
+		}
 	}
 	s.refreshShare(now)
 }
