fix: a woken request that does not use the room passes it on

Cause: an answer wakes one request. If that went to another server, was refused or left, the others waited on beside free room. And a wait could end when the deadline left no time for the work. Change: it wakes the next one that waits for the server; a wait ends when the deadline leaves just the work. TestARequestThatIsSentElsewherePassesTheRoomOn and TestAWaitLeavesTimeBeforeTheDeadline failed before and pass; both packages pass with -race.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -173,6 +173,9 @@
 		return Decision{Verdict: Run}
 	}
 	until := r.ArrivedAt.Add(r.objective() / freeWaitDivisor)
+	if latest := r.Deadline.Add(r.Wait - r.Expected); latest.Before(until) {
+		until = latest
+	}
 	if r.IsStreamed || !now.Before(until) || now.Add(excess).After(until) {
 		return Decision{Verdict: Refuse, Cause: cause, At: a.ReturnAt(r, now)}
 	}
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -118,3 +118,19 @@
 	a.Standing(r[1], epoch.Add(100*ms))
 	require.Less(t, longestWait(a, r[1]), 75*ms)
 }
+
+// A request waits no longer than the deadline leaves beside its work.
+func TestAWaitLeavesTimeBeforeTheDeadline(t *testing.T) {
+	a, r := newAdmitter(), ranks(2)
+	for i, served := range []int{150, 50} {
+		r[i].Tenant = string(rune('a' + i))
+		record(a, r[i], 200, served)
+	}
+	require.True(t, a.Standing(r[0], epoch.Add(100*ms)).IsOverShare)
+	late := *r[0]
+	late.ObjectiveAt, late.Deadline = epoch.Add(time.Second), epoch.Add(390*ms)
+	late.Expected, late.Wait = 380*ms, 30*ms
+	decision := a.Decide(&late, epoch)
+	require.Equal(t, admitter.Wait, decision.Verdict)
+	require.Equal(t, epoch.Add(40*ms), decision.At)
+}
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -41,6 +41,8 @@
 
 	mu    sync.Mutex
 	queue *admitter.Queue[*registrar.Backend]
+	// wokenBy holds the servers whose answers woke requests that have not seen it yet.
+	wokenBy map[*admitter.Ticket]*registrar.Backend
 	// reportedAt is when a lack of room was last reported, by service, and turnedAway the
 	// number of requests turned away since.
 	reportedAt map[string]time.Time
@@ -51,6 +53,7 @@
 	return &room{
 		admitter:   admitter.New(admitter.Config{Random: rand.Float64}),
 		stopping:   make(chan struct{}),
+		wokenBy:    map[*admitter.Ticket]*registrar.Backend{},
 		reportedAt: map[string]time.Time{}, turnedAway: map[string]int{},
 		queue: admitter.NewQueue[*registrar.Backend](admitter.Bounds{PerPriority: maxWaitingPerPriority, Bytes: maxWaitingBytes}),
 	}
@@ -79,19 +82,27 @@
 	if attempt == 1 && f.sharesRoom(call) {
 		f.beginRequest(call, now)
 	}
+	var wokenBy *registrar.Backend
 	for {
 		chosen, err := f.choose(ctx, call, now, attempt)
 		var wait *waitError
 		if !errors.As(err, &wait) {
+			if wokenBy != nil && chosen.backend != wokenBy {
+				f.room.wake(wokenBy, now)
+			}
 			if err == nil && call.roomRequest != nil && attempt == 1 {
 				f.room.admitter.Start(call.roomRequest, now)
 			}
 			return chosen, err
 		}
-		if err := f.awaitRoom(ctx, call, wait); err != nil {
+		wokenBy, err = f.awaitRoom(ctx, call, wait)
+		now = time.Now()
+		if err != nil {
+			if wokenBy != nil {
+				f.room.wake(wokenBy, now)
+			}
 			return decision{}, err
 		}
-		now = time.Now()
 	}
 }
 
@@ -190,19 +201,20 @@
 }
 
 // awaitRoom waits until there may be room for a call, or no longer than it may wait. It
-// returns a NotRunError if the caller has left or the deadline has passed.
-func (f *Forwarder) awaitRoom(ctx context.Context, call *Call, wait *waitError) error {
+// returns the server whose answer woke the call, if any, and a NotRunError if the caller has
+// left or the deadline has passed.
+func (f *Forwarder) awaitRoom(ctx context.Context, call *Call, wait *waitError) (wokenBy *registrar.Backend, err error) {
 	ticket := &admitter.Ticket{Request: call.roomRequest, Bytes: int64(len(call.Body)), Woken: make(chan struct{}, 1)}
 	if !f.room.add(ticket, wait.servers) {
 		call.wasCrowdedOut = true
-		return nil
+		return nil, nil
 	}
 	started := time.Now()
 	waitingRequests.Inc()
 	timer := time.NewTimer(wait.until.Sub(started))
 	defer func() {
 		timer.Stop()
-		f.room.remove(ticket, wait.servers)
+		wokenBy = f.room.remove(ticket, wait.servers)
 		waitingRequests.Dec()
 		waitSeconds.Update(time.Since(started).Seconds())
 	}()
@@ -212,11 +224,11 @@
 	case <-f.room.stopping:
 	case <-ctx.Done():
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			return pollencrank.NotRun(pollencrank.ReasonDeadlinePassed, "the deadline passed while the request waited for room")
+			return nil, pollencrank.NotRun(pollencrank.ReasonDeadlinePassed, "the deadline passed while the request waited for room")
 		}
-		return pollencrank.NotRun(pollencrank.ReasonCallerGone, "the caller left while the request waited for room")
+		return nil, pollencrank.NotRun(pollencrank.ReasonCallerGone, "the caller left while the request waited for room")
 	}
-	return nil
+	return nil, nil
 }
 
 func (r *room) add(ticket *admitter.Ticket, servers []*registrar.Backend) bool {
@@ -230,8 +242,8 @@
 	return isAdded
 }
 
-// remove ends the wait of a ticket.
-func (r *room) remove(ticket *admitter.Ticket, servers []*registrar.Backend) {
+// remove ends the wait of a ticket, and returns the server that woke it, if any.
+func (r *room) remove(ticket *admitter.Ticket, servers []*registrar.Backend) *registrar.Backend {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.queue.Remove(ticket)
@@ -239,6 +251,9 @@
 	for _, server := range servers {
 		r.queue.Forget(server)
 	}
+	wokenBy := r.wokenBy[ticket]
+	delete(r.wokenBy, ticket)
+	return wokenBy
 }
 
 // wake lets the first request that waits for a server look for room again.
@@ -253,6 +268,9 @@
 		if ticket == nil {
 			return
 		}
+		if !isLost {
+			r.wokenBy[ticket] = server
+		}
 		ticket.Woken <- struct{}{}
 		if !isLost {
 			return
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/router"
 )
 
@@ -157,6 +158,43 @@
 	})
 }
 
+// A woken request that goes to another server leaves the waking server to the next one.
+func TestARequestThatIsSentElsewherePassesTheRoomOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		servers := []registrar.Server{server("n-1", "south"), server("n-2", "north")}
+		for i := range servers {
+			servers[i].Slots = 20
+		}
+		s.setServers(servers...)
+		far, near := s.registrar.Find("n-1"), s.registrar.Find("n-2")
+		s.sender.reply = func(server string, n int, request *pollencrank.Request) (*pollencrank.Answer, error) {
+			time.Sleep(20 * time.Millisecond)
+			if n == 1 {
+				far.RecordLoad(1, 0, time.Now())
+				near.RecordLoad(1, 0, time.Now())
+			}
+			return soundAnswer(server, request), nil
+		}
+		near.RecordLoad(20, 200, time.Now())
+		go func() { _, _ = s.forwardTenant(t.Context(), "first") }()
+		synctest.Wait()
+		far.RecordLoad(20, 67, time.Now())
+		near.RecordLoad(20, 67, time.Now())
+		started := time.Now()
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() {
+				call, err := s.forwardTenant(t.Context(), "waits")
+				require.NoError(t, err)
+				require.Equal(t, started.Add(20*time.Millisecond), call.Course.FirstSentAt)
+			})
+		}
+		calls.Wait()
+		require.Equal(t, []string{"n-1", "n-2", "n-2"}, s.sender.sent)
+	})
+}
+
 func TestACallerThatLeavesAndAPlannedStopEndTheWait(t *testing.T) {
 	for name, end := range map[string]func(s *system, leave context.CancelFunc){
 		"a caller that leaves": func(_ *system, leave context.CancelFunc) { leave() },
