fix: what certainly has not run does not count as served

Cause: a request counted as served when it was sent, also if the server shed it or could not be reached, so that a tenant was held to a share of work that was never done. Change: Admitter.Revoke takes a start back when its attempt certainly has not run; a later attempt counts again. TestWhatIsShedIsNotServed fails without the revocation (refused for its tenant's share) and passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -70,6 +70,10 @@
 	// Expected is the time until the answer of the best server, Wait the part of it in the
 	// server's queue, and Work the part in one of its slots.
 	Expected, Wait, Work time.Duration
+
+	// worth is what the request was expected to earn when it started.
+	worth     float64
+	startedAt time.Time
 }
 
 // objective returns the time that the latency objective allows from the arrival, or the
@@ -159,6 +163,13 @@
 	a.usagesOf(r, now).serve(r, now)
 }
 
+// Revoke takes back that a request was started, because it certainly has not run.
+func (a *Admitter) Revoke(r *Request, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.usagesOf(r, now).revoke(r, now)
+}
+
 // Decide returns the verdict on a request that asks for room now.
 func (a *Admitter) Decide(r *Request, now time.Time) Decision {
 	if r.Wait <= 0 {
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -134,3 +134,23 @@
 	require.Equal(t, admitter.Wait, decision.Verdict)
 	require.Equal(t, epoch.Add(40*ms), decision.At)
 }
+
+// A start that is revoked leaves the usages as if it had not been.
+func TestARevokedStartIsNotServed(t *testing.T) {
+	a, r := newAdmitter(), ranks(2)
+	for i := range r {
+		r[i].Tenant = string(rune('a' + i))
+		record(a, r[i], 40, 20)
+	}
+	now := epoch.Add(100 * ms)
+	for range 30 {
+		a.Start(r[1], now)
+	}
+	require.True(t, a.Standing(r[1], now).IsOverShare)
+	require.True(t, a.Standing(r[0], now).IsBehind)
+	for range 30 {
+		a.Revoke(r[1], now)
+	}
+	require.Equal(t, admitter.Standing{}, a.Standing(r[0], now))
+	require.Equal(t, admitter.Standing{}, a.Standing(r[1], now))
+}
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -160,17 +160,28 @@
 }
 
 func (u usages) serve(r *Request, now time.Time) {
-	worth := lateWorth
+	r.worth, r.startedAt = lateWorth, now
 	if r.IsInTime(now) {
-		worth = 1
+		r.worth = 1
 	}
+	u.addServed(r, 1)
+}
+
+// revoke takes back what is not forgotten yet of a request that was counted as served.
+func (u usages) revoke(r *Request, now time.Time) {
+	u.addServed(r, -math.Exp2(-now.Sub(r.startedAt).Seconds()/usageHalfLife.Seconds()))
+}
+
+// addServed adds a multiple of a request to what was served.
+func (u usages) addServed(r *Request, multiple float64) {
 	for _, used := range [...]*usage{&u.service.all, u.kind, &u.service.ranks[u.rank]} {
-		used.served++
-		used.earned += worth
+		used.served = max(used.served+multiple, 0)
+		used.earned = max(used.earned+multiple*r.worth, 0)
 	}
 	if u.tenant != nil {
-		u.tenant.served += r.Work.Seconds()
-		u.service.work.served += r.Work.Seconds()
+		work := multiple * r.Work.Seconds()
+		u.tenant.served = max(u.tenant.served+work, 0)
+		u.service.work.served = max(u.service.work.served+work, 0)
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,6 +157,8 @@
 	// wait.
 	roomRequest                    *admitter.Request
 	isCountedInRoom, wasCrowdedOut bool
+	// startedAttempt is the attempt for which the request counts as served, or zero.
+	startedAttempt int
 
 	service router.Service
 	// sent and unreached count the attempts that may have reached a server, and those that
@@ -236,7 +238,8 @@
 		return f.tryThroughPeer(ctx, call, now)
 	}
 	f.deposit(call, now)
-	chosen, err := f.chooseInRoom(ctx, call, now, call.tries()+1)
+	attempt := call.tries() + 1
+	chosen, err := f.chooseInRoom(ctx, call, now, attempt)
 	if err == nil {
 		err = f.checkDeadline(call, time.Now())
 	}
@@ -247,9 +250,11 @@
 		err = f.beforeSend(ctx, call)
 	}
 	if err != nil {
+		f.revokeStart(call, attempt, err)
 		return nil, call.giveUp(err)
 	}
 	answer, err := f.sendTo(ctx, call, chosen)
+	f.revokeStart(call, attempt, err)
 	if isUnreached(err) {
 		call.unreached++
 	} else {
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -90,7 +90,8 @@
 			if wokenBy != nil && chosen.backend != wokenBy {
 				f.room.wake(wokenBy, now)
 			}
-			if err == nil && call.roomRequest != nil && attempt == 1 {
+			if err == nil && call.roomRequest != nil && call.startedAttempt == 0 {
+				call.startedAttempt = attempt
 				f.room.admitter.Start(call.roomRequest, now)
 			}
 			return chosen, err
@@ -160,6 +161,15 @@
 	return err
 }
 
+// revokeStart takes back that a call counts as served, if the attempt for which it does
+// certainly has not run.
+func (f *Forwarder) revokeStart(call *Call, attempt int, err error) {
+	if call.startedAttempt == attempt && pollencrank.IsNotRun(err) {
+		call.startedAttempt = 0
+		f.room.admitter.Revoke(call.roomRequest, time.Now())
+	}
+}
+
 // setReturn spreads the times at which callers come back whose requests were not run because
 // servers were full, if nothing says when there is room.
 func (f *Forwarder) setReturn(call *Call, err error, now time.Time) {
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -218,6 +218,42 @@
 	}
 }
 
+// What a server sheds does not count for the fair share of the tenant.
+func TestWhatIsShedIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrowdedSystem(t, 0)
+		isShed, queued := true, 0
+		s.sender.reply = func(id string, _ int, request *pollencrank.Request) (*pollencrank.Answer, error) {
+			if isShed {
+				return nil, shed(id)
+			}
+			time.Sleep(100 * time.Millisecond)
+			return soundAnswer(id, request), nil
+		}
+		forward := func(tenant string) error {
+			time.Sleep(200 * time.Millisecond)
+			s.registrar.Find("n-1").RecordLoad(0, queued, time.Now())
+			call := s.newCall("a", "17", "/x")
+			call.Tenant = &router.Tenant{Name: tenant}
+			_, err := s.Forward(t.Context(), call)
+			return err
+		}
+		for range 10 {
+			require.Error(t, forward("first"))
+		}
+		require.Len(t, s.sender.sent, 10)
+		isShed = false
+		for range 3 {
+			require.NoError(t, forward("second"))
+		}
+		queued = 16
+		for range 20 {
+			require.Error(t, forward("second"))
+		}
+		require.ErrorContains(t, forward("first"), "(objective)")
+	})
+}
+
 // Callers of requests that full servers have refused come back at different times.
 func TestCallersThatServersTurnAwayComeBackAtDifferentTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
