--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -227,8 +227,8 @@
 }
 
 // maxWait returns the time that the request may spend in a server's queue: what a multiple of
-// the latency objective leaves beside the work. If the work leaves nothing, a short queue
-// does no harm.
+// the latency objective leaves beside the work. If the work leaves nothing, the answer is late
+// without the queue too, so that a short one is allowed.
 func (r *Request) maxWait(stretch float64, now time.Time) time.Duration {
 	until := r.ArrivedAt.Add(time.Duration(float64(r.objective()) * stretch))
 	return max(until.Sub(now)-(r.Expected-r.Wait), r.objective()/shortQueueDivisor)
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -154,3 +154,27 @@
 	require.Equal(t, admitter.Standing{}, a.Standing(r[0], now))
 	require.Equal(t, admitter.Standing{}, a.Standing(r[1], now))
 }
+
+// Where few requests meet a queue, a late one delays nobody; where all do, it must be in time.
+func TestTheQueueIsShorterTheMoreMeetOne(t *testing.T) {
+	few, all, r := newAdmitter(), newAdmitter(), ranks(1)
+	record(few, r[0], 100, 100)
+	require.Equal(t, 430*ms, longestWait(few, r[0]))
+	r[0].Wait = ms
+	record(all, r[0], 100, 100)
+	require.Equal(t, 280*ms, longestWait(all, r[0]))
+}
+
+// Callers that are refused together come back over a time, from when the queue is short enough.
+func TestReturnsAreSpread(t *testing.T) {
+	random := 0.0
+	a := admitter.New(admitter.Config{Random: func() float64 { return random }})
+	r := newRequest(1, 300*ms, 500*ms, 20*ms)
+	require.Equal(t, epoch.Add(220*ms), a.ReturnAt(r, epoch))
+	random = 0.5
+	require.WithinDuration(t, epoch.Add((220*ms+2*time.Second/3)/2), a.ReturnAt(r, epoch), ms)
+	r.Wait, r.Expected, random = 0, 20*ms, 0
+	require.Equal(t, epoch.Add(150*ms), a.ReturnAt(r, epoch))
+	r.Deadline, random = epoch.Add(time.Minute), 1
+	require.Equal(t, epoch.Add(1500*ms), a.ReturnAt(r, epoch))
+}
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -17,14 +17,14 @@
 	// minOffered is the number of requests from which on the share of those that were
 	// served says something.
 	minOffered = 10
-	// keptShare is the part of the served share of all requests that a kind is served at
-	// least.
+	// keptShare is the part of the served share of all requests below which a kind is due. It
+	// is above the quarter that every kind is to have, because the effect comes late.
 	keptShare = 0.33
 	// maxInversion is by how much the served share of a less urgent rank may exceed that of
-	// a more urgent one.
+	// a more urgent one before it is shortened. It is below the 5 in 100 that are to hold.
 	maxInversion = 0.02
 	// maxEarnedInversion is by how much the earned share of a less urgent rank may exceed that
-	// of a more urgent one, and lateWorth the worth of a late answer, as a part of one in time.
+	// of a more urgent one, below the 15 in 100 that are to hold, and lateWorth the worth of a late answer, as a part of one in time.
 	maxEarnedInversion = 0.08
 	lateWorth          = 0.2
 	// maxStretch is the multiple of the latency objective that an expected time may reach if
