--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -89,8 +89,8 @@
 	require.LessOrEqual(t, all.served-all.inTime, 12.0)
 }
 
-func TestAFloodOfTheLeastUrgent(t *testing.T) {
-	jobs := append(stream(30, "urgent", 0, usualWork), stream(400, "flood", 3, usualWork)...)
+func TestManyOfTheLeastUrgent(t *testing.T) {
+	jobs := append(stream(30, "urgent", 0, usualWork), stream(400, "many", 3, usualWork)...)
 	play(newPool(), jobs)
 	requireOrder(t, jobs)
 	require.Greater(t, count(jobs, kindOf)["urgent"].worth(), 0.8)
@@ -116,8 +116,8 @@
 	}
 }
 
-func TestAFloodOfTheMostUrgent(t *testing.T) {
-	jobs := append(stream(400, "flood", 0, usualWork), stream(30, "rest", 3, usualWork)...)
+func TestManyOfTheMostUrgent(t *testing.T) {
+	jobs := append(stream(400, "many", 0, usualWork), stream(30, "rest", 3, usualWork)...)
 	play(newPool(), jobs)
 	requireOrder(t, jobs)
 }
@@ -149,7 +149,7 @@
 		}
 	}
 	require.GreaterOrEqual(t, worstOfOthers, 0.8*mean)
-	require.Equal(t, worst, byTenant["half"].servedShare(), "the flood costs the tenant that sends it")
+	require.Equal(t, worst, byTenant["half"].servedShare(), "what it sends too much costs itself")
 }
 
 // Of tenants of very different sizes that keep to their quotas, the worst tenth is served
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -30,6 +30,14 @@
 	return s
 }
 
+// requireNothingWaits checks that every wait has left the queue.
+func (s *system) requireNothingWaits(t *testing.T) {
+	t.Helper()
+	queued, counted := s.Waiting()
+	require.Zero(t, queued)
+	require.Zero(t, counted)
+}
+
 // forwardTenant forwards a request of a tenant.
 func (s *system) forwardTenant(ctx context.Context, id string) (*forwarder.Call, error) {
 	call := s.newCall(id, "17", "/x")
@@ -103,6 +111,7 @@
 		require.Equal(t, pollencrank.ReasonQueueFull, notRun.Reason)
 		require.WithinRange(t, notRun.RetryAt, time.Now().Add(150*time.Millisecond), started.Add(s.callerTimeout/2))
 		require.Empty(t, s.sender.sent)
+		s.requireNothingWaits(t)
 	})
 }
 
@@ -137,6 +146,7 @@
 		call, err := s.forwardTenant(t.Context(), "second")
 		require.NoError(t, err)
 		require.Equal(t, started.Add(20*time.Millisecond), call.Course.FirstSentAt)
+		s.requireNothingWaits(t)
 	})
 }
 
@@ -192,6 +202,7 @@
 		}
 		calls.Wait()
 		require.Equal(t, []string{"n-1", "n-2", "n-2"}, s.sender.sent)
+		s.requireNothingWaits(t)
 	})
 }
 
@@ -213,6 +224,7 @@
 				_, err := s.forwardTenant(ctx, "a")
 				require.True(t, pollencrank.IsNotRun(err))
 				require.Equal(t, 5*time.Millisecond, time.Since(started))
+				s.requireNothingWaits(t)
 			})
 		})
 	}
