--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/admitter"
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
 	"github.com/pollencrank/pollencrank/isolator"
@@ -81,6 +82,8 @@
 	// Suspended, if set, returns the total time for which the machine has been
 	// suspended.
 	Suspended func() time.Duration
+	// TellsPace, if set, reports whether servers of a service tell the pace of their machines.
+	TellsPace func(service string) bool
 	Log       *slog.Logger
 }
 
@@ -93,6 +96,7 @@
 	// answerStager buffers answers until they are known to be complete.
 	answerStager *stager.Stager
 	suspectRuns  suspectRuns
+	room         *room
 	// checks counts the checks of servers that run in the background.
 	checks sync.WaitGroup
 }
@@ -110,6 +114,7 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
+		room:          newRoom(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
 		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
@@ -143,6 +148,17 @@
 	// Hop is what another instance says that has sent the request on. It is nil for the
 	// request of a caller of this instance.
 	Hop *rerouter.Hop
+	// ArrivedAt is when the request arrived at this instance. Zero means when Forward is
+	// called.
+	ArrivedAt time.Time
+
+	// roomRequest states what the admission depends on, if room is shared. isCountedInRoom
+	// says that the request counts for the shares, and wasCrowdedOut that too many others
+	// wait.
+	roomRequest                    *admitter.Request
+	isCountedInRoom, wasCrowdedOut bool
+	// startedAttempt is the attempt for which the request counts as served, or zero.
+	startedAttempt int
 
 	service router.Service
 	// sent and unreached count the attempts that may have reached a server, and those that
@@ -206,6 +222,7 @@
 	if lastAnswer != nil {
 		return lastAnswer, nil
 	}
+	f.setReturn(call, failure.Err(), time.Now())
 	return f.end(ctx, call, failure.Err())
 }
 
@@ -221,7 +238,8 @@
 		return f.tryThroughPeer(ctx, call, now)
 	}
 	f.deposit(call, now)
-	chosen, err := f.choose(ctx, call, now, call.tries()+1)
+	attempt := call.tries() + 1
+	chosen, err := f.chooseInRoom(ctx, call, now, attempt)
 	if err == nil {
 		err = f.checkDeadline(call, time.Now())
 	}
@@ -232,9 +250,11 @@
 		err = f.beforeSend(ctx, call)
 	}
 	if err != nil {
+		f.revokeStart(call, attempt, err)
 		return nil, call.giveUp(err)
 	}
 	answer, err := f.sendTo(ctx, call, chosen)
+	f.revokeStart(call, attempt, err)
 	if isUnreached(err) {
 		call.unreached++
 	} else {
@@ -315,6 +335,7 @@
 		err = f.bufferAnswer(ctx, answer, backend)
 	}
 	backend.End(sent)
+	f.room.wake(backend, time.Now())
 	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
 		// The caller's upload failed; the failure is not recorded against the server.
 		return nil, bodyFailure(call, server, err)
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -31,6 +31,7 @@
 	h.isStopping.Store(true)
 	h.rationer.Stop()
 	h.relayer.Stop()
+	h.forwarder.EndWaits()
 	h.roster.publish()
 	h.replicator.Close()
 	h.config.Log.Info("a planned stop begins", recorder.EventStopping.Attr(), slog.Int("inFlight", h.relayer.InFlight()))
