feat: a caller that takes nothing of its answers costs only itself

Cause: writes to callers had no bound in time. A caller that reads nothing held its answers, the requests behind them and their goroutines until it left, and what one connection or all of them held of headers and waiting answers had no bound: 16 requests with headers of 64 KiB each on every connection.

Change: expirer ends a connection whose other end takes no byte for 10 s; progress counts, not the time of the whole. pipeliner begins no further request of a connection while its requests and waiting answers exceed MaxHeldBytes, and passes a request to Config.Full while the headers of all running requests exceed MaxRequestBytes. Event PC1941, pollencrank_unread_connections_total.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/pollencrank/pollencrank/expirer"
 )
 
 const (
@@ -41,6 +44,8 @@
 	limit  *limitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// held counts the bytes of the requests that run and of the answers that wait.
+	held atomic.Int64
 	// ctx is cancelled when the caller disconnects or the connection is aborted.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -69,13 +74,14 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	limit := &limitedReader{reader: raw}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.config.ConnContext(context.Background()))
+	taken := expirer.New(raw, expirer.Config{Timeout: s.config.UnreadTimeout, OnExpire: s.logUnread})
 	return &conn{
 		server: s,
 		raw:    raw,
 		limit:  limit,
 		reader: bufio.NewReaderSize(limit, readBufferBytes),
-		writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		writer: bufio.NewWriterSize(taken, writeBufferBytes),
 		ctx:    ctx,
 		cancel: cancel,
 		slots:  make(chan struct{}, maxOverlapping),
@@ -91,7 +97,7 @@
 			c.refuse(err)
 			return
 		}
-		e, ok := c.begin(request)
+		e, ok := c.begin(request, c.limit.count)
 		if !ok {
 			return
 		}
@@ -117,6 +123,7 @@
 func (c *conn) readRequest() (*http.Request, error) {
 	c.limit.remaining = int64(c.server.config.MaxHeaderBytes + readBufferBytes)
 	c.limit.isExceeded = false
+	c.limit.count = int64(c.reader.Buffered())
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
@@ -132,6 +139,7 @@
 		return nil, err
 	}
 	c.limit.remaining = -1
+	c.limit.count -= int64(c.reader.Buffered())
 	request.RemoteAddr = c.raw.RemoteAddr().String()
 	return request, checkRequest(request)
 }
@@ -171,14 +179,16 @@
 
 // begin waits until the request may run and returns its exchange. It reports false
 // if the connection accepts no further request.
-func (c *conn) begin(request *http.Request) (*exchange, bool) {
+func (c *conn) begin(request *http.Request, headerBytes int64) (*exchange, bool) {
 	select {
 	case c.slots <- struct{}{}:
 	case <-c.ctx.Done():
 		return nil, false
 	}
 	runsAlone := c.server.config.RunsAlone(request)
-	if runsAlone || c.lastRunsAlone || !c.server.config.MayOverlap(request) {
+	size := headerBytes + max(0, request.ContentLength)
+	isFull := c.held.Load()+size > c.server.config.MaxHeldBytes
+	if runsAlone || c.lastRunsAlone || isFull || !c.server.config.MayOverlap(request) {
 		c.awaitAll()
 	}
 	c.lastRunsAlone = runsAlone
@@ -190,6 +200,8 @@
 		return nil, false
 	}
 	e := newExchange(c, request, c.last)
+	e.headerBytes = headerBytes
+	e.hold(size)
 	c.last = e
 	c.begun++
 	c.isLast = request.Close || c.isFinishing
@@ -211,6 +223,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer close(e.ended)
+	e.release()
 	c.ended++
 	<-c.slots
 	if c.begun != c.ended {
@@ -348,6 +361,8 @@
 	reader     io.Reader
 	remaining  int64
 	isExceeded bool
+	// count is the number of bytes read while remaining is not negative.
+	count int64
 }
 
 // Read implements io.Reader.
@@ -364,5 +379,6 @@
 	}
 	n, err := r.reader.Read(p)
 	r.remaining -= int64(n)
+	r.count += int64(n)
 	return n, err
 }
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -25,6 +25,9 @@
 	body    *requestBody
 	// previous is the exchange whose answer is sent before this one's.
 	previous *exchange
+	// headerBytes is the size of the request's header, held what the exchange holds of the
+	// connection's bytes.
+	headerBytes, held int64
 	// ended is closed when the answer was sent or the exchange failed.
 	ended chan struct{}
 
@@ -65,10 +68,21 @@
 func (e *exchange) run() {
 	defer e.conn.end(e)
 	defer e.recover()
-	e.conn.server.config.Handler.ServeHTTP(e, e.request)
+	server := e.conn.server
+	defer server.requestBytes.Add(-e.headerBytes)
+	server.handlerOf(e.headerBytes).ServeHTTP(e, e.request)
 	e.finish()
 }
 
+// hold counts bytes as held for the connection until the exchange has ended.
+func (e *exchange) hold(n int64) {
+	e.held += n
+	e.conn.held.Add(n)
+}
+
+// release releases what the exchange holds.
+func (e *exchange) release() { e.conn.held.Add(-e.held) }
+
 // recover aborts the connection if the handler panicked, so that the caller does not
 // take a partial answer for a complete one.
 func (e *exchange) recover() {
@@ -132,8 +146,11 @@
 	}
 	e.isHeaderSent = true
 	wantsClose := e.wantsClose()
-	e.awaitTurn()
 	e.chooseFraming(status)
+	if e.hasBody && e.contentLength > 0 {
+		e.hold(min(e.contentLength, maxCountedAnswerBytes))
+	}
+	e.awaitTurn()
 	if e.hasBody && e.contentLength < 0 && !e.request.ProtoAtLeast(1, 1) {
 		wantsClose = true
 	}
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -23,12 +23,26 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pollencrank/pollencrank/recorder"
 )
 
 const (
 	defaultReadHeaderTimeout = 10 * time.Second
 	defaultMaxHeaderBytes    = 64 << 10
+	// defaultMaxHeldBytes bounds what is held for one connection if the configuration sets
+	// no bound.
+	defaultMaxHeldBytes = 4 << 20
+	// maxCountedAnswerBytes is the most that one answer counts for the bytes that are held
+	// for its connection: longer ones are passed on as they arrive.
+	maxCountedAnswerBytes = 1 << 20
+	// fullRetryDelay is the time after which a caller may retry a request for whose header
+	// no memory was left, in seconds.
+	fullRetryDelay = "1"
 	// shutdownPollInterval is how often Shutdown checks whether all connections
 	// have ended.
 	shutdownPollInterval = 10 * time.Millisecond
@@ -56,6 +70,21 @@
 	ReadHeaderTimeout time.Duration
 	// MaxHeaderBytes bounds the size of a request header.
 	MaxHeaderBytes int
+	// UnreadTimeout is how long a caller may take nothing of its answers before its
+	// connection is ended. The default is that of package expirer.
+	UnreadTimeout time.Duration
+	// MaxHeldBytes bounds the headers and bodies of the requests of one connection and the
+	// answers that wait for their turn: no further request is begun while they exceed it.
+	MaxHeldBytes int64
+	// MaxRequestBytes bounds the headers of the running requests of all connections. Further
+	// requests are passed to Full. Zero sets no bound.
+	MaxRequestBytes int64
+	// Full refuses requests for whose header no memory is left. The default answers with
+	// status 503.
+	Full http.Handler
+	// ConnContext, if set, returns the context of a connection, from which those of its
+	// requests are derived.
+	ConnContext func(ctx context.Context) context.Context
 	// ConnState, if set, is called when a connection changes its state, like the
 	// hook of that name in http.Server.
 	ConnState func(conn net.Conn, state http.ConnState)
@@ -66,6 +95,9 @@
 type Server struct {
 	config Config
 
+	// requestBytes are the headers of the running requests.
+	requestBytes atomic.Int64
+
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
@@ -86,6 +118,15 @@
 	if config.RunsAlone == nil {
 		config.RunsAlone = func(*http.Request) bool { return false }
 	}
+	if config.MaxHeldBytes <= 0 {
+		config.MaxHeldBytes = defaultMaxHeldBytes
+	}
+	if config.Full == nil {
+		config.Full = http.HandlerFunc(refuseFull)
+	}
+	if config.ConnContext == nil {
+		config.ConnContext = func(ctx context.Context) context.Context { return ctx }
+	}
 	if config.ConnState == nil {
 		config.ConnState = func(net.Conn, http.ConnState) {}
 	}
@@ -95,6 +136,34 @@
 	return &Server{config: config, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
 }
 
+// refuseFull refuses a request.
+func refuseFull(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", fullRetryDelay)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// RequestBytes returns the bytes that are held for the headers of running requests.
+func (s *Server) RequestBytes() int64 { return s.requestBytes.Load() }
+
+// handlerOf returns the handler of a request with a header of the given size, which counts
+// as held from now on.
+func (s *Server) handlerOf(headerBytes int64) http.Handler {
+	held := s.requestBytes.Add(headerBytes)
+	if limit := s.config.MaxRequestBytes; limit > 0 && held > limit {
+		return s.config.Full
+	}
+	return s.config.Handler
+}
+
+// logUnread reports a connection that was ended because its caller took nothing.
+func (s *Server) logUnread(remote net.Addr) {
+	unreadTotal.Inc()
+	s.config.Log.Info("a caller took nothing of its answer; its connection is ended", recorder.EventCallerUnread.Attr(),
+		slog.String("caller", remote.String()))
+}
+
+var unreadTotal = metrics.GetOrCreateCounter("pollencrank_unread_connections_total")
+
 // Serve accepts connections until the server is closed, and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -76,6 +76,7 @@
 	EventCutOff                Event = 1925
 	EventCutOffEnded           Event = 1926
 	EventRerouteFailed         Event = 1927
+	EventCallerUnread          Event = 1941
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -147,6 +148,7 @@
 		{EventCutOff, slog.LevelWarn, "This instance has lost its links to all servers of a service; requests for it go through other instances."},
 		{EventCutOffEnded, slog.LevelInfo, "This instance reaches the servers of that service again."},
 		{EventRerouteFailed, slog.LevelInfo, "Another instance did not take a request of this one, which is cut off from the servers; the next one is asked."},
+		{EventCallerUnread, slog.LevelInfo, "A caller took nothing of its answer for a while; its connection was ended."},
 	}
 }
 
