feat: a caller that reads slowly holds no more than its share of the answers

Cause: all answers that are held share one bound. One caller with 16 pipelined answers of 1 MiB took half of it, further answers of everybody were streamed, and a streamed answer that a server cut off because it stayed unread, or that was late because its caller was, counted as the server's failure.

Change: a connection has a stager.Share (Call.Share); answers beyond it are streamed and marked IsHeldBack, so that their route is not taken for one with long answers. A streamed answer that fails after its caller paused for a second, or at the deadline after its caller took longer than its server, is no failure of the server. Held answers are written without a buffer of their own. The totals are configurable (ShortTotal, Config.AnswerStager); the defaults are as they were.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -12,15 +12,28 @@
 )
 
 const (
-	// maxBufferedAnswerBytes is the length up to which an answer is read to its end
+	// MaxBufferedAnswerBytes is the length up to which an answer is read to its end
 	// before its first byte is passed on, so that the request can be retried if the
 	// answer is truncated.
-	maxBufferedAnswerBytes = 1 << 20
-	// maxBufferedTotalBytes bounds the bytes buffered for all answers together.
-	// Answers beyond that are streamed.
-	maxBufferedTotalBytes = 32 << 20
+	MaxBufferedAnswerBytes = 1 << 20
+	// defaultBufferedBytes bounds the bytes buffered for all answers together unless the
+	// configuration does. Answers beyond that are streamed.
+	defaultBufferedBytes = 32 << 20
+	// callerPause is the time without a read of a streamed answer from which its caller, and
+	// not its server, is slow.
+	callerPause = time.Second
 )
 
+// NewAnswerStager returns a Stager that buffers answers until they are known to be complete.
+// total and shortTotal bound the bytes of all large and of all short ones; zero selects the
+// defaults.
+func NewAnswerStager(total, shortTotal int64) *stager.Stager {
+	if total <= 0 {
+		total = defaultBufferedBytes
+	}
+	return stager.New(stager.Config{PerBody: MaxBufferedAnswerBytes, Total: total, ShortTotal: shortTotal})
+}
+
 // verifyAnswer checks that an answer comes from the server itself and belongs to the
 // request. If the check fails, the outcome of the request is unknown.
 func verifyAnswer(answer *pollencrank.Answer, request *pollencrank.Request) error {
@@ -42,23 +55,24 @@
 	return nil
 }
 
-// bufferAnswer reads the body of an answer up to maxBufferedAnswerBytes, so that a
+// bufferAnswer reads the body of an answer up to MaxBufferedAnswerBytes, so that a
 // truncated one is detected before any of it is passed on. A longer body is streamed,
 // and a failure is recorded for its server when the stream fails, unless the answer comes
 // through another instance and backend is nil.
-func (f *Forwarder) bufferAnswer(ctx context.Context, answer *pollencrank.Answer, backend *registrar.Backend) error {
+func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
 	source := answer.Body
-	streamed := &streamedBody{Closer: source, backend: backend, hasCallerLeft: func() bool {
+	streamed := &streamedBody{Closer: source, backend: backend, lastRead: time.Now(), hasCallerLeft: func() bool {
 		return errors.Is(context.Cause(ctx), context.Canceled)
 	}}
-	if answer.ContentLength > maxBufferedAnswerBytes {
+	if answer.ContentLength > MaxBufferedAnswerBytes {
 		streamed.reader = source
 		answer.Body = streamed
 		return nil
 	}
-	body, err := f.answerStager.Stage(source, answer.ContentLength)
+	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
+		answer.IsHeldBack = full.IsShare
 		streamed.reader = source
 		answer.Body = streamed
 		return nil
@@ -78,6 +92,7 @@
 		answer.Body = &bufferedBody{Reader: body.Reader(), body: body}
 		return nil
 	}
+	answer.IsHeldBack = body.IsShareSpent()
 	streamed.reader = body.Reader()
 	streamed.buffered = body
 	answer.Body = streamed
@@ -90,6 +105,9 @@
 	body *stager.Body
 }
 
+// WriteTo implements io.WriterTo: no second buffer is needed while the caller reads.
+func (b *bufferedBody) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, b.Reader) }
+
 // Close implements io.Closer.
 func (b *bufferedBody) Close() error {
 	b.body.Release()
@@ -98,24 +116,42 @@
 
 // streamedBody is a body that is passed on as it arrives. If reading it fails or does
 // not end before the deadline, a failure is recorded for its server, unless the caller
-// has left.
+// has left or was slow to read: servers give up on answers that stay unread.
 type streamedBody struct {
 	io.Closer
 	reader        io.Reader
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
+	// lastRead is when the last read has ended.
+	lastRead time.Time
+	// waited is how long reads have taken, paused the time between them.
+	waited, paused time.Duration
+	// isCallerSlow is set once the caller has not read for callerPause.
+	isCallerSlow bool
 }
 
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
+	started := time.Now()
+	pause := started.Sub(b.lastRead)
+	b.paused += pause
+	b.isCallerSlow = b.isCallerSlow || pause >= callerPause
 	n, err := b.reader.Read(p)
-	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.hasCallerLeft() {
-		b.backend.RecordFailure(time.Now())
+	b.lastRead = time.Now()
+	b.waited += b.lastRead.Sub(started)
+	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.isOfCaller(err) {
+		b.backend.RecordFailure(b.lastRead)
 	}
 	return n, err
 }
 
+// isOfCaller reports whether the caller, and not the server, is the cause of an error.
+func (b *streamedBody) isOfCaller(err error) bool {
+	isLate := errors.Is(err, context.DeadlineExceeded) && b.paused > b.waited
+	return b.isCallerSlow || isLate || b.hasCallerLeft()
+}
+
 // Close implements io.Closer.
 func (b *streamedBody) Close() error {
 	if b.buffered != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,6 +76,8 @@
 	Suspects  Suspects
 	// Rerouter, if set, sends requests through other instances.
 	Rerouter Rerouter
+	// AnswerStager buffers answers. The default is NewAnswerStager with default bounds.
+	AnswerStager *stager.Stager
 	// Suspended, if set, returns the total time for which the machine has been
 	// suspended.
 	Suspended func() time.Duration
@@ -88,9 +90,7 @@
 	serviceTimes  *selector.ServiceTimes
 	objectHistory *selector.ObjectHistory
 	placements    *placements
-	// answerStager buffers answers until they are known to be complete.
-	answerStager *stager.Stager
-	suspectRuns  suspectRuns
+	suspectRuns   suspectRuns
 	// crashChecks counts the checks for crashes that run in the background.
 	crashChecks sync.WaitGroup
 }
@@ -100,6 +100,9 @@
 	if config.Suspended == nil {
 		config.Suspended = func() time.Duration { return 0 }
 	}
+	if config.AnswerStager == nil {
+		config.AnswerStager = NewAnswerStager(0, 0)
+	}
 	if config.Rerouter == nil {
 		config.Rerouter = noRerouter{}
 	}
@@ -109,7 +112,6 @@
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
-		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
 }
 
@@ -129,6 +131,8 @@
 	// BodyFailure, if set, returns the error with which reading the request's Body
 	// failed, or nil.
 	BodyFailure func() error
+	// Share, if set, bounds what is held for the caller.
+	Share *stager.Share
 	// Course is filled in by Forward.
 	Course Course
 
@@ -301,7 +305,7 @@
 		err = verifyAnswer(answer, request)
 	}
 	if err == nil {
-		err = f.bufferAnswer(ctx, answer, backend)
+		err = f.bufferAnswer(ctx, call, answer, backend)
 	}
 	backend.End(sent)
 	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -194,7 +194,7 @@
 		err = verifyAnswer(answer, call.Request)
 	}
 	if err == nil {
-		err = f.bufferAnswer(ctx, answer, nil)
+		err = f.bufferAnswer(ctx, call, answer, nil)
 	}
 	if !pollencrank.IsNotRun(err) {
 		call.sent++
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -193,7 +193,7 @@
 		return
 	}
 	defer answer.Body.Close()
-	if !answer.IsWhole {
+	if !answer.IsWhole && !answer.IsHeldBack {
 		r.streamedRoutes.add(call.Route.Name, time.Now())
 	}
 	if body.isInUse() {
@@ -205,6 +205,13 @@
 	r.recordAnswer(call, answer, started)
 }
 
+// RefuseFull refuses a request for which no memory is left, before its body is read.
+func (r *Relayer) RefuseFull(w http.ResponseWriter, incoming *http.Request) {
+	err := pollencrank.NotRun(pollencrank.ReasonBodiesFull, "no memory is left for the request")
+	err.RetryAt = time.Now().Add(bodiesFullRetryDelay)
+	r.writeError(w, nil, r.config.Dialect.ReadCaller(incoming.Header), err, time.Now())
+}
+
 // awaitReady waits until an instance that has just started can serve requests, for at
 // most maxReadyWait and half of the caller's timeout.
 func (r *Relayer) awaitReady(ctx context.Context, headers CallerHeaders) {
@@ -262,6 +269,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	call := &forwarder.Call{
+		Share:     stager.ShareOf(incoming.Context()),
 		Table:     table,
 		Route:     route,
 		ObjectKey: headers.ObjectKey,
--- a/request.go
+++ b/request.go
@@ -52,7 +52,10 @@
 	ConnectedAt time.Time
 	// IsWhole reports whether the whole body is held: reading it cannot fail.
 	IsWhole bool
-	Body    io.ReadCloser
+	// IsHeldBack reports whether the body is not held as a whole only because its caller has
+	// not taken earlier answers yet.
+	IsHeldBack bool
+	Body       io.ReadCloser
 	// Trailer is filled in by the time Body returns io.EOF.
 	Trailer http.Header
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -6,7 +6,8 @@
 // and for the whole process: the rest of a body that exceeds the bound for one body
 // is streamed, and a body for which no memory is left at all is refused before any of
 // it is read. Short bodies have a separate memory budget, so that large ones do not
-// starve them.
+// starve them. A Share bounds what one caller takes of the memory, so that one that reads
+// its answers slowly does not keep it from others.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -31,10 +33,11 @@
 	DefaultPerBody = 512 << 10
 	// DefaultTotal is the number of bytes of all large bodies together that are buffered.
 	DefaultTotal = 24 << 20
-	// shortBytes is the length up to which a body counts as short, shortBudget the
-	// number of bytes of all short bodies together that are buffered.
-	shortBytes  = 16 << 10
-	shortBudget = 16 << 20
+	// DefaultShortTotal is the number of bytes of all short bodies together that are
+	// buffered.
+	DefaultShortTotal = 16 << 20
+	// shortBytes is the length up to which a body counts as short.
+	shortBytes = 16 << 10
 	// growStep is the size of the first buffer of a body of unknown length.
 	growStep = 32 << 10
 )
@@ -43,6 +46,8 @@
 type FullError struct {
 	// Reserved and Total are in bytes.
 	Reserved, Total int64
+	// IsShare is set if only the caller's Share is used up.
+	IsShare bool
 }
 
 // Error implements error.
@@ -54,8 +59,9 @@
 type Config struct {
 	// PerBody is the number of bytes of one body that are buffered.
 	PerBody int64
-	// Total is the number of bytes of all large bodies together that are buffered.
-	Total int64
+	// Total and ShortTotal are the number of bytes of all large and of all short bodies
+	// together that are buffered.
+	Total, ShortTotal int64
 }
 
 // Stager buffers bodies. It is safe for concurrent use.
@@ -78,6 +84,42 @@
 	return nil
 }
 
+// Share is the part of the memory that the bodies of one caller may take. A nil Share sets
+// no bound. It is safe for concurrent use.
+type Share struct{ budget budget }
+
+// NewShare returns a Share of the given number of bytes.
+func NewShare(total int64) *Share { return &Share{budget: budget{total: total}} }
+
+func (s *Share) reserve(n int64) error {
+	if s == nil {
+		return nil
+	}
+	if err := s.budget.reserve(n); err != nil {
+		return &FullError{Reserved: s.budget.reserved.Load(), Total: s.budget.total, IsShare: true}
+	}
+	return nil
+}
+
+func (s *Share) release(n int64) {
+	if s != nil {
+		s.budget.reserved.Add(-n)
+	}
+}
+
+type shareKey struct{}
+
+// WithShare returns a context that carries the Share of a caller.
+func WithShare(ctx context.Context, share *Share) context.Context {
+	return context.WithValue(ctx, shareKey{}, share)
+}
+
+// ShareOf returns the Share that a context carries, or nil.
+func ShareOf(ctx context.Context) *Share {
+	share, _ := ctx.Value(shareKey{}).(*Share)
+	return share
+}
+
 // New returns a Stager.
 func New(config Config) *Stager {
 	if config.PerBody <= 0 {
@@ -86,9 +128,12 @@
 	if config.Total <= 0 {
 		config.Total = DefaultTotal
 	}
+	if config.ShortTotal <= 0 {
+		config.ShortTotal = DefaultShortTotal
+	}
 	return &Stager{
 		maxPerBody: config.PerBody,
-		short:      budget{total: shortBudget},
+		short:      budget{total: config.ShortTotal},
 		large:      budget{total: config.Total},
 	}
 }
@@ -102,14 +147,22 @@
 	// rest is the part that follows data, or nil if data is the whole body.
 	rest     io.Reader
 	budget   *budget
+	share    *Share
 	reserved int64
+	// isShareSpent is set if the rest is not buffered for want of the caller's Share.
+	isShareSpent bool
 }
 
 // Stage buffers a body up to its end or the bound for one body. A negative length
 // means that the length is unknown. Stage returns a FullError if no memory is left,
 // without having read from the body, and the read error if the body breaks off.
 func (s *Stager) Stage(body io.Reader, length int64) (*Body, error) {
-	b := &Body{budget: &s.large}
+	return s.StageWithin(nil, body, length)
+}
+
+// StageWithin is Stage with memory that also counts for the Share of a caller.
+func (s *Stager) StageWithin(share *Share, body io.Reader, length int64) (*Body, error) {
+	b := &Body{budget: &s.large, share: share}
 	if length >= 0 && length <= shortBytes {
 		b.budget = &s.short
 	}
@@ -130,6 +183,7 @@
 		err := b.grow(size)
 		if err != nil && len(b.data) > 0 {
 			b.rest = body
+			b.isShareSpent = isShareSpent(err)
 			return nil
 		}
 		if err != nil {
@@ -155,7 +209,11 @@
 
 // grow reserves memory for n more bytes and enlarges the buffer.
 func (b *Body) grow(n int64) error {
+	if err := b.share.reserve(n); err != nil {
+		return err
+	}
 	if err := b.budget.reserve(n); err != nil {
+		b.share.release(n)
 		return err
 	}
 	b.reserved += n
@@ -165,6 +223,11 @@
 	return nil
 }
 
+func isShareSpent(err error) bool {
+	var full *FullError
+	return errors.As(err, &full) && full.IsShare
+}
+
 // read fills the buffer up to its capacity. It returns io.EOF at the end of the body.
 func (b *Body) read(body io.Reader) error {
 	for len(b.data) < cap(b.data) {
@@ -180,6 +243,10 @@
 // Bytes returns the buffered bytes and reports whether they are the whole body.
 func (b *Body) Bytes() ([]byte, bool) { return b.data, b.rest == nil }
 
+// IsShareSpent reports whether the body is not buffered as a whole because the Share of its
+// caller was used up.
+func (b *Body) IsShareSpent() bool { return b.isShareSpent }
+
 // Reader returns a reader of the body from its beginning. A body that is not buffered
 // as a whole can be read only once.
 func (b *Body) Reader() io.Reader {
@@ -192,6 +259,7 @@
 // Release releases the reserved memory. The body must not be used afterwards.
 func (b *Body) Release() {
 	b.budget.reserved.Add(-b.reserved)
+	b.share.release(b.reserved)
 	b.reserved = 0
 	b.data = nil
 }
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -130,3 +130,33 @@
 		}
 	}
 }
+
+// Guards against a caller that holds the memory of all: its own share is used up first, and is
+// its own again once its bodies are released, also those for which no memory was left.
+func TestAShareBoundsOneCaller(t *testing.T) {
+	s := stager.New(stager.Config{Total: 500_000})
+	share := stager.NewShare(250_000)
+	stage := func(share *stager.Share) (*stager.Body, error) {
+		return s.StageWithin(share, bytes.NewReader(make([]byte, 200_000)), 200_000)
+	}
+	first, err := stage(share)
+	require.NoError(t, err)
+	_, err = stage(share)
+	var full *stager.FullError
+	require.ErrorAs(t, err, &full)
+	require.True(t, full.IsShare)
+	other, err := stage(nil)
+	require.NoError(t, err)
+	first.Release()
+	taken, err := stage(nil)
+	require.NoError(t, err)
+	_, err = stage(share)
+	require.ErrorAs(t, err, &full)
+	require.False(t, full.IsShare)
+	other.Release()
+	again, err := stage(share)
+	require.NoError(t, err)
+	again.Release()
+	taken.Release()
+	require.Zero(t, s.Reserved())
+}
