feat: what is held for callers and servers is bounded by the instance's memory

Change: hoster divides the memory: an eighth each for large bodies and answers, a sixteenth each for short ones and for headers, a share for each connection. Beyond a quarter of a server's connections, streamed answers whose callers have not read for 0.3 s are ended, the longest pauses first. All HTTP listeners end connections whose other end takes nothing. Metrics of what is held.

--- a/cmd/pollencrankd/hosted.go
+++ b/cmd/pollencrankd/hosted.go
@@ -100,6 +100,7 @@
 		Seeds:          settings.Seeds,
 		IsFirstStart:   settings.IsFirstStart,
 		Bounds:         boundsOf(settings),
+		MemoryBytes:    settings.MemoryBytes,
 		SampleEvery:    c.LogEvery,
 		Log:            log,
 	}), nil
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -61,20 +62,15 @@
 // through another instance and backend is nil.
 func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
 	source := answer.Body
-	streamed := &streamedBody{Closer: source, backend: backend, lastRead: time.Now(), hasCallerLeft: func() bool {
-		return errors.Is(context.Cause(ctx), context.Canceled)
-	}}
 	if answer.ContentLength > MaxBufferedAnswerBytes {
-		streamed.reader = source
-		answer.Body = streamed
+		answer.Body = f.stream(ctx, call, answer.Body, backend)
 		return nil
 	}
 	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
 		answer.IsHeldBack = full.IsShare
-		streamed.reader = source
-		answer.Body = streamed
+		answer.Body = f.stream(ctx, call, source, backend)
 		return nil
 	}
 	if err != nil {
@@ -93,12 +89,26 @@
 		return nil
 	}
 	answer.IsHeldBack = body.IsShareSpent()
+	streamed := f.stream(ctx, call, source, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
 	answer.Body = streamed
 	return nil
 }
 
+// stream returns the body of an answer that is passed on as it arrives.
+func (f *Forwarder) stream(ctx context.Context, call *Call, source io.ReadCloser, backend *registrar.Backend) *streamedBody {
+	b := &streamedBody{
+		Closer: source, reader: source, backend: backend, streams: f.streams,
+		maxPaused:     max(1, f.config.Budgets.ConnectionLimit(call.service.MaxConnections, time.Now())/pausedDivisor),
+		hasCallerLeft: func() bool { return errors.Is(context.Cause(ctx), context.Canceled) },
+	}
+	now := time.Now()
+	b.pausedAt.Store(now.UnixNano())
+	endStreams(f.streams.add(b, now))
+	return b
+}
+
 // bufferedBody is a body that is buffered completely.
 type bufferedBody struct {
 	io.Reader
@@ -123,8 +133,14 @@
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
-	// lastRead is when the last read has ended.
-	lastRead time.Time
+	// streams are those that the body is counted among.
+	streams *streams
+	// maxPaused is how many streams of its server may be paused.
+	maxPaused int
+	// pausedAt is when the last read has ended, in nanoseconds, or zero during a read.
+	pausedAt atomic.Int64
+	// isEnded is set once the body was ended because its caller does not read.
+	isEnded atomic.Bool
 	// waited is how long reads have taken, paused the time between them.
 	waited, paused time.Duration
 	// isCallerSlow is set once the caller has not read for callerPause.
@@ -134,18 +150,29 @@
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
 	started := time.Now()
-	pause := started.Sub(b.lastRead)
+	pause := b.pause(started)
+	b.pausedAt.Store(0)
 	b.paused += pause
 	b.isCallerSlow = b.isCallerSlow || pause >= callerPause
 	n, err := b.reader.Read(p)
-	b.lastRead = time.Now()
-	b.waited += b.lastRead.Sub(started)
+	now := time.Now()
+	b.waited += now.Sub(started)
 	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.isOfCaller(err) {
-		b.backend.RecordFailure(b.lastRead)
+		b.backend.RecordFailure(now)
 	}
+	b.pausedAt.Store(now.UnixNano())
 	return n, err
 }
 
+// pause returns how long the caller has not read, or zero during a read.
+func (b *streamedBody) pause(now time.Time) time.Duration {
+	pausedAt := b.pausedAt.Load()
+	if pausedAt == 0 {
+		return 0
+	}
+	return max(0, time.Duration(now.UnixNano()-pausedAt))
+}
+
 // isOfCaller reports whether the caller, and not the server, is the cause of an error.
 func (b *streamedBody) isOfCaller(err error) bool {
 	isLate := errors.Is(err, context.DeadlineExceeded) && b.paused > b.waited
@@ -154,6 +181,7 @@
 
 // Close implements io.Closer.
 func (b *streamedBody) Close() error {
+	b.streams.remove(b)
 	if b.buffered != nil {
 		b.buffered.Release()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,6 +91,7 @@
 	objectHistory *selector.ObjectHistory
 	placements    *placements
 	suspectRuns   suspectRuns
+	streams       *streams
 	// crashChecks counts the checks for crashes that run in the background.
 	crashChecks sync.WaitGroup
 }
@@ -111,6 +112,7 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
+		streams:       newStreams(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
 	}
 }
--- a/forwarder/slow_test.go
+++ b/forwarder/slow_test.go
@@ -107,6 +107,59 @@
 	}
 }
 
+// Guards against slow callers that occupy all connections to a server: beyond a part of them,
+// the answers whose callers have paused for longest are ended. Callers that read are left alone.
+func TestPausedStreamsLeaveConnectionsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams, paused, kept = 60, 50, 16
+		s := newSystem(t)
+		s.setServers(server("n-1", "north"))
+		closed := map[string]bool{}
+		s.sender.reply = func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+			a := soundAnswer(server, r)
+			a.ContentLength = forwarder.MaxBufferedAnswerBytes + 1
+			a.Body = &closableBody{Reader: &pacedBody{reads: 1 << 20}, onClose: func() { closed[r.ID] = true }}
+			return a, nil
+		}
+		var answers []*pollencrank.Answer
+		for range streams {
+			time.Sleep(10 * time.Millisecond)
+			answer, err := s.forwardRequest(t.Context(), "17")
+			require.NoError(t, err)
+			answers = append(answers, answer)
+		}
+		for range 10 {
+			time.Sleep(500 * time.Millisecond)
+			for _, reading := range answers[paused:] {
+				_, err := reading.Body.Read(make([]byte, 10))
+				require.NoError(t, err)
+			}
+			s.EndPausedStreams(time.Now())
+		}
+		require.Len(t, closed, paused-kept)
+		for _, oldest := range answers[:paused-kept] {
+			require.True(t, closed[oldest.RequestID])
+		}
+		for _, answer := range answers {
+			require.NoError(t, answer.Body.Close())
+		}
+		clear(closed)
+		s.EndPausedStreams(time.Now().Add(time.Hour))
+		require.Empty(t, closed, "closed streams are forgotten")
+	})
+}
+
+// closableBody tells when it is closed.
+type closableBody struct {
+	io.Reader
+	onClose func()
+}
+
+func (b *closableBody) Close() error {
+	b.onClose()
+	return nil
+}
+
 // Guards against a buffer of its own for each answer that is being written: the bytes that
 // are held are written as they are.
 func TestAHeldAnswerIsWrittenWithoutACopy(t *testing.T) {
--- a/hoster/fixture_test.go
+++ b/hoster/fixture_test.go
@@ -231,9 +231,9 @@
 // entry is a running instance with the addresses of its listeners.
 type entry struct {
 	namer.Instance
-	lookups, ready string
-	log            *logBuffer
-	stop           context.CancelFunc
+	lookups, ready, metrics string
+	log                     *logBuffer
+	stop                    context.CancelFunc
 	// done is closed when the instance has ended, with err.
 	done chan struct{}
 	err  error
@@ -256,7 +256,11 @@
 // startEntry starts an instance with the store that config names.
 func startEntry(t *testing.T, id string, incarnation uint64, config hoster.Config) *entry {
 	t.Helper()
-	listeners := hoster.Listeners{Callers: listen(t), Ready: listen(t), Lookups: listen(t), Peers: listen(t), Metrics: listen(t)}
+	callers := config.Listeners.Callers
+	if callers == nil {
+		callers = listen(t)
+	}
+	listeners := hoster.Listeners{Callers: callers, Ready: listen(t), Lookups: listen(t), Peers: listen(t), Metrics: listen(t)}
 	e := &entry{
 		Instance: namer.Instance{
 			ID: id, Incarnation: incarnation, FailureDomain: cmp.Or(config.Self.FailureDomain, "north-a"), Region: "north",
@@ -264,6 +268,7 @@
 		},
 		lookups: listeners.Lookups.Addr().String(),
 		ready:   listeners.Ready.Addr().String(),
+		metrics: listeners.Metrics.Addr().String(),
 		done:    make(chan struct{}),
 		log:     &logBuffer{},
 	}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -23,6 +23,7 @@
 
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/expirer"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/isolator"
@@ -93,6 +94,8 @@
 	IsFirstStart bool
 
 	Bounds Bounds
+	// MemoryBytes is the memory that the process may use. Zero means that it is not known.
+	MemoryBytes int64
 	// SampleEvery is the sampling interval of the log: one of SampleEvery answered
 	// requests is logged. Zero selects the default.
 	SampleEvery int
@@ -131,6 +134,7 @@
 	cutOffPeers cutOffPeers
 	forwarder   *forwarder.Forwarder
 	relayer     *relayer.Relayer
+	held        heldBytes
 	idles       *relayer.IdleCloser
 	prober      *prober.Prober
 	roster      *roster
@@ -199,6 +203,7 @@
 		OnChange: h.roster.publish,
 		Log:      config.Log,
 	})
+	h.held = newHeldBytes(config.MemoryBytes)
 	h.rerouter = h.newRerouter()
 	h.forwarder = h.newForwarder()
 	h.relayer = relayer.New(relayer.Config{
@@ -206,6 +211,7 @@
 		Ready:       h.isConfigured,
 		Forwarder:   h.forwarder,
 		Dialect:     config.Dialect,
+		Stager:      h.held.bodies,
 		SampleEvery: config.SampleEvery,
 		Log:         config.Log,
 	})
@@ -242,8 +248,11 @@
 		Distances: h.distances,
 		Suspended: h.timekeeper.Suspended,
 		Rerouter:  h.rerouter,
-		Suspects:  forwarder.Suspects{Isolator: h.isolator, IsDown: isDown, Broadcast: h.broadcaster.enqueue},
-		Log:       h.config.Log,
+
+		AnswerStager: h.held.answers,
+
+		Suspects: forwarder.Suspects{Isolator: h.isolator, IsDown: isDown, Broadcast: h.broadcaster.enqueue},
+		Log:      h.config.Log,
 	})
 }
 
@@ -261,20 +270,12 @@
 	h.config.Log.Info("the instance has started", recorder.EventStarted.Attr(),
 		slog.String("instance", h.config.Self.ID), slog.String("failureDomain", h.config.Self.FailureDomain),
 		slog.String("region", h.config.Self.Region), slog.String("callers", h.config.Self.CallerAddress))
-	callers := pipeliner.New(pipeliner.Config{
-		Handler:           h.relayer,
-		MayOverlap:        h.relayer.MayOverlap,
-		RunsAlone:         h.relayer.RunsAlone,
-		ConnState:         h.idles.Track,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		Log:               h.config.Log,
-	})
+	callers := h.newCallerServer()
 	h.serve(callers, h.config.Listeners.Callers)
-	h.serve(&http.Server{Handler: h.readyHandler()}, h.config.Listeners.Ready)
-	h.serve(&http.Server{Handler: h.lookupHandler()}, h.config.Listeners.Lookups)
-	h.serve(&http.Server{Handler: h.peerHandler()}, h.config.Listeners.Peers)
-	h.serve(&http.Server{Handler: metricsHandler()}, h.config.Listeners.Metrics)
+	h.serveHTTP(h.readyHandler(), h.config.Listeners.Ready)
+	h.serveHTTP(h.lookupHandler(), h.config.Listeners.Lookups)
+	h.serveHTTP(h.peerHandler(), h.config.Listeners.Peers)
+	h.serveHTTP(h.metricsHandler(callers), h.config.Listeners.Metrics)
 	h.followStore()
 	h.tomb.Go(h.register)
 	h.tomb.Go(h.sweep)
@@ -294,6 +295,23 @@
 	return err
 }
 
+// newCallerServer returns the server for the connections of callers.
+func (h *Hoster) newCallerServer() *pipeliner.Server {
+	return pipeliner.New(pipeliner.Config{
+		Handler:           h.relayer,
+		MayOverlap:        h.relayer.MayOverlap,
+		RunsAlone:         h.relayer.RunsAlone,
+		ConnState:         h.idles.Track,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeldBytes:      h.held.bounds.perConnection,
+		MaxRequestBytes:   h.held.bounds.requestHeaders,
+		Full:              http.HandlerFunc(h.relayer.RefuseFull),
+		ConnContext:       h.held.connContext,
+		Log:               h.config.Log,
+	})
+}
+
 // server is an http.Server or a pipeliner.Server.
 type server interface {
 	Serve(listener net.Listener) error
@@ -316,6 +334,11 @@
 	})
 }
 
+// serveHTTP runs a handler on a listener until the instance ends.
+func (h *Hoster) serveHTTP(handler http.Handler, listener net.Listener) {
+	h.serve(&http.Server{Handler: handler}, expirer.Listener{Listener: listener})
+}
+
 // publishAfterConfirmTime publishes the roster again after confirmTime. From then on
 // look-ups also name instances that have not answered this one: instances that were
 // started together with this one have had time to start up.
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -19,6 +19,7 @@
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/pipeliner"
 	"github.com/pollencrank/pollencrank/prober"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/replicator"
@@ -248,10 +249,13 @@
 	return prober.State{Incarnation: state.Incarnation, IsStopping: state.IsStopping, IsReady: state.IsReady}, nil
 }
 
-func metricsHandler() http.Handler {
+func (h *Hoster) metricsHandler(callers *pipeliner.Server) http.Handler {
+	held := metrics.NewSet()
+	h.held.export(held, callers)
 	routes := bunrouter.New()
 	routes.GET("/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		metrics.WritePrometheus(w, true)
+		held.WritePrometheus(w)
 		return nil
 	})
 	return routes
@@ -272,6 +276,7 @@
 				limit = table.Limits.IdleTimeout
 			}
 			h.idles.Sweep(limit, now)
+			h.forwarder.EndPausedStreams(now)
 			h.state.Expire(!h.replicator.IsStoreUnavailable(), now)
 			h.registrar.Expire()
 			h.closeRemovedServers()
