fix: a status that is none is no answer

Cause: net/http takes any three digits for a status. dispatcher passed each on, pipeliner left out what is below 200 and sent 200 with the first byte of the body: the caller of an order got a success that no server had sent. Above 599 the caller got the status.

Change: dispatcher judges each answer where it is read, of requests, of other instances and of probes (judge.go): what is no final status leaves the outcome unknown (invalidAnswer), the connection is not used again, the server counts as failing, PC1942 and pollencrank_invalid_answers_total name it. pipeliner, relayer and receiver abort an exchange whose handler writes such a status. Repeatable requests are repeated within their budget.

Answers of the store: any status but 2xx was an error there already (platform/store.go), and persister names those it takes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -69,6 +70,8 @@
 	OnReport func(target Target, report Report)
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
+	// Log gets the answers that are none. The default discards them.
+	Log *slog.Logger
 }
 
 // Target is the backend server that a request is sent to.
@@ -98,6 +101,9 @@
 	if config.Dialect == nil {
 		config.Dialect = defaultDialect{}
 	}
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
 	if config.IdleTimeout <= 0 {
 		config.IdleTimeout = idleTimeout
 	}
@@ -235,6 +241,9 @@
 
 // receive returns the answer of a server, or the error that it stands for.
 func (d *Dispatcher) receive(target Target, request *pollencrank.Request, response *http.Response, attempt *attempt) (*pollencrank.Answer, error) {
+	if err := d.invalidAnswer(target, response, attempt); err != nil {
+		return nil, err
+	}
 	if !d.config.Dialect.IsAnswerTo(request, response.Header) {
 		// The answers that follow on the connection are out of step, too.
 		attempt.abandonConnection()
--- /dev/null
+++ b/dispatcher/judge.go
@@ -0,0 +1,36 @@
+package dispatcher
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+// judge returns what is wrong with an answer that net/http accepts and HTTP does not know, or
+// "" if it is one.
+func judge(response *http.Response) string {
+	if !pollencrank.IsFinalStatus(response.StatusCode) {
+		return "it has no final status"
+	}
+	return ""
+}
+
+// invalidAnswer returns the error of a request whose server sent something that is no answer,
+// or nil if it is one. The connection is not used again. The server may have run the request.
+func (d *Dispatcher) invalidAnswer(target Target, response *http.Response, attempt *attempt) error {
+	fault := judge(response)
+	if fault == "" {
+		return nil
+	}
+	attempt.abandonConnection()
+	_ = response.Body.Close()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_invalid_answers_total{server=%q}`, target.Name)).Inc()
+	d.config.Log.Warn("a server sent an answer that is none", recorder.EventAnswerInvalid.Attr(),
+		slog.String("server", target.Name), slog.String("statusLine", fmt.Sprintf("%.40q", response.Status)), slog.String("fault", fault))
+	return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerInvalid, "the answer of server %s is none: %s: status %03d", target.Name, fault, response.StatusCode)
+}
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
+	if err := d.invalidAnswer(target, response, &attempt); err != nil {
+		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
+	}
 	if !d.config.Dialect.IsAnswerTo(&pollencrank.Request{}, response.Header) {
 		attempt.abandonConnection()
 		_ = response.Body.Close()
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -231,6 +231,7 @@
 		Dialect:     h.config.Dialect,
 		OnReport:    h.report,
 		IdleTimeout: serverIdleTimeout,
+		Log:         h.config.Log,
 	})
 	regions := map[string]bool{}
 	for _, region := range h.config.RegionOf {
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/recorder"
 )
 
 // exchange is one request and its answer. It implements http.ResponseWriter for
@@ -141,9 +144,13 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (e *exchange) WriteHeader(status int) {
-	if e.isHeaderSent || status < http.StatusOK {
+	if e.isHeaderSent {
 		return
 	}
+	if !pollencrank.IsFinalStatus(status) {
+		e.conn.server.config.Log.Error("a handler wrote a status that is none", recorder.EventAnswerInvalid.Attr(), slog.Int("status", status))
+		panic(http.ErrAbortHandler)
+	}
 	e.isHeaderSent = true
 	wantsClose := e.wantsClose()
 	e.chooseFraming(status)
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -420,3 +420,15 @@
 	require.NoError(t, c.Close())
 	require.NoError(t, <-ended)
 }
+
+// Guards against a status that is left out and becomes 200 with the first byte of the body.
+func TestAStatusThatIsNoneIsNotAnswered(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600} {
+		c := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "done")
+		})).dial()
+		c.send(http.MethodGet, "/a", "")
+		c.requireClosed()
+	}
+}
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -268,6 +268,10 @@
 	if answer.ContentLength >= 0 && header.Get("Content-Length") == "" && request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	if !pollencrank.IsFinalStatus(answer.Status) {
+		// A writer would leave such a status out and send another one.
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(answer.Status)
 	if err := copyBody(w, answer); err != nil {
 		r.metrics.truncated.Inc()
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -77,6 +77,7 @@
 	EventCutOffEnded           Event = 1926
 	EventRerouteFailed         Event = 1927
 	EventCallerUnread          Event = 1941
+	EventAnswerInvalid         Event = 1942
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -149,6 +150,7 @@
 		{EventCutOffEnded, slog.LevelInfo, "This instance reaches the servers of that service again."},
 		{EventRerouteFailed, slog.LevelInfo, "Another instance did not take a request of this one, which is cut off from the servers; the next one is asked."},
 		{EventCallerUnread, slog.LevelInfo, "A caller took nothing of its answer for a while; its connection was ended."},
+		{EventAnswerInvalid, slog.LevelWarn, "A backend server sent an answer that is none in HTTP; whether the request has run is not known."},
 	}
 }
 
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -50,7 +50,7 @@
 }
 
 // serveCallers starts a pipeliner in front of a Relayer, and returns its address.
-func serveCallers(t *testing.T, r *relayer.Relayer) string {
+func serveCallers(t testing.TB, r *relayer.Relayer) string {
 	t.Helper()
 	server := pipeliner.New(pipeliner.Config{Handler: r, MayOverlap: r.MayOverlap, RunsAlone: r.RunsAlone})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -298,6 +298,10 @@
 
 // writeAnswer writes a server's answer to the caller.
 func (r *Relayer) writeAnswer(w http.ResponseWriter, answer *pollencrank.Answer) {
+	if !pollencrank.IsFinalStatus(answer.Status) {
+		// A writer would leave such a status out and send another one.
+		panic(http.ErrAbortHandler)
+	}
 	header := w.Header()
 	for name, values := range pollencrank.EndToEnd(answer.Header) {
 		header[name] = values
--- a/rerouter/rerouter.go
+++ b/rerouter/rerouter.go
@@ -82,7 +82,7 @@
 		Detector: NewDetector(config.DetectorConfig),
 		config:   config,
 		sender: dispatcher.New(dispatcher.Config{
-			DialContext: config.DialContext, Dialect: peerDialect{config.Dialect}, IdleTimeout: idleTimeout,
+			DialContext: config.DialContext, Dialect: peerDialect{config.Dialect}, IdleTimeout: idleTimeout, Log: config.Log,
 		}),
 		avoidedUntil: map[avoidance]time.Time{},
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -180,7 +180,7 @@
 		Isolator:        r.isolator,
 		ShareSuspect:    r.broadcastSuspect,
 		ServedElsewhere: func(workload string) bool { return r.balancer.HasPeers(workload) },
-		Sender:          dispatcher.New(dispatcher.Config{}),
+		Sender:          dispatcher.New(dispatcher.Config{Log: c.Log}),
 		Budget:          r.budget,
 		Log:             c.Log,
 		Tracer:          c.Tracer,
