fix: a 204 that announces a body is no answer

Cause: net/http reads no body after status 204 and passes the length on. The caller gets 204 with a Content-Length, and waits for bytes or takes the next answer for them; those of the server stay on its connection.

Change: judged with the status (dispatcher/judge.go). A table of what net/http takes and no caller may get, over the real dispatcher, relayer and pipeliner.

The table before the mend (go test ./relayer -run TestOddAnswers): --- FAIL: TestOddAnswersAreWholeOrFail/204_with_chunks status 204 --- FAIL: TestOddAnswersAreWholeOrFail/204_with_a_length status 204 Two of its cases were mistaken at first: an interim answer with the ID, the final one without; and a header whose name has a space, which is left out as it should be. Afterwards: ok.

--- a/dispatcher/judge.go
+++ b/dispatcher/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -14,12 +15,22 @@
 // judge returns what is wrong with an answer that net/http accepts and HTTP does not know, or
 // "" if it is one.
 func judge(response *http.Response) string {
-	if !pollencrank.IsFinalStatus(response.StatusCode) {
+	switch {
+	case !pollencrank.IsFinalStatus(response.StatusCode):
 		return "it has no final status"
+	case response.StatusCode == http.StatusNoContent && announcesBody(response):
+		return "it announces a body that it cannot have"
 	}
 	return ""
 }
 
+// announcesBody reports whether the header of an answer announces a body. net/http reads none
+// of it if the status allows none, and passes the header on.
+func announcesBody(response *http.Response) bool {
+	length := strings.TrimSpace(response.Header.Get("Content-Length"))
+	return strings.Trim(length, "0") != "" || len(response.TransferEncoding) > 0
+}
+
 // invalidAnswer returns the error of a request whose server sent something that is no answer,
 // or nil if it is one. The connection is not used again. The server may have run the request.
 func (d *Dispatcher) invalidAnswer(target Target, response *http.Response, attempt *attempt) error {
--- a/relayer/invalid_test.go
+++ b/relayer/invalid_test.go
@@ -95,3 +95,66 @@
 		})
 	}
 }
+
+// broken is an answer after which the caller has to get a failure of the system.
+const broken = 0
+
+// oddAnswers are answers that net/http may take and no caller may get as they are. Each says
+// what the caller gets.
+var oddAnswers = map[string]struct {
+	statusLine, rest string
+	status           int
+	body             string
+}{
+	"usual":                                   {"200 OK", "Content-Length: 4\r\n\r\ndone", 200, "done"},
+	"no reason phrase":                        {"200", "Content-Length: 4\r\n\r\ndone", 200, "done"},
+	"two lengths":                             {"200 OK", "Content-Length: 4\r\nContent-Length: 2\r\n\r\ndone", broken, ""},
+	"one length twice":                        {"200 OK", "Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone", 200, "done"},
+	"a list of lengths":                       {"200 OK", "Content-Length: 4, 4\r\n\r\ndone", broken, ""},
+	"a negative length":                       {"200 OK", "Content-Length: -4\r\n\r\ndone", broken, ""},
+	"a signed length":                         {"200 OK", "Content-Length: +4\r\n\r\ndone", broken, ""},
+	"a length beside chunks":                  {"200 OK", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", 200, "done"},
+	"chunks twice":                            {"200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", broken, ""},
+	"an unknown coding":                       {"200 OK", "Transfer-Encoding: gzip\r\n\r\ndone", broken, ""},
+	"a chunk of negative size":                {"200 OK", "Transfer-Encoding: chunked\r\n\r\n-4\r\ndone\r\n0\r\n\r\n", broken, ""},
+	"204 with a length":                       {"204 None", "Content-Length: 4\r\n\r\ndone", broken, ""},
+	"204 with chunks":                         {"204 None", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", broken, ""},
+	"204":                                     {"204 None", "\r\n", 204, ""},
+	"204 with length 0":                       {"204 None", "Content-Length: 0\r\n\r\n", 204, ""},
+	"304 with a body":                         {"304 Same", "Content-Length: 4\r\n\r\ndone", 304, ""},
+	"bytes behind the body":                   {"200 OK", "Content-Length: 4\r\n\r\ndoneHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", 200, "done"},
+	"a header over the limit":                 {"200 OK", "X: " + strings.Repeat("x", 70<<10) + "\r\nContent-Length: 4\r\n\r\ndone", broken, ""},
+	"interim without end":                     {"100 Continue", "\r\n", broken, ""},
+	"control characters":                      {"200 \x01\x07 OK", "Content-Length: 4\r\n\r\ndone", 200, "done"},
+	"a control in a value":                    {"200 OK", "X: a\x00b\r\nContent-Length: 4\r\n\r\ndone", broken, ""},
+	"a name with a space":                     {"200 OK", "X y: a\r\nContent-Length: 4\r\n\r\ndone", 200, "done"},
+	"a trailer with a name of the connection": {"200 OK", "Transfer-Encoding: chunked\r\nTrailer: Connection\r\n\r\n4\r\ndone\r\n0\r\nConnection: close\r\n\r\n", 200, "done"},
+	"a trailer with a length":                 {"200 OK", "Transfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n4\r\ndone\r\n0\r\nContent-Length: 9\r\n\r\n", broken, ""},
+}
+
+// Guards against answers that one part reads in another way than the next: the caller gets the
+// server's own status and whole body, or a failure of the system.
+func TestOddAnswersAreWholeOrFail(t *testing.T) {
+	for name, test := range oddAnswers {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(id string) string { return rawAnswer(test.statusLine, id, test.rest) })
+			status, body, err := order(t, address, "a")
+			if test.status == broken {
+				require.True(t, err != nil || status >= http.StatusInternalServerError, "status %d", status)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, test.status, status)
+			require.Equal(t, test.body, body)
+		})
+	}
+	t.Run("interim before", func(t *testing.T) {
+		address := serveRaw(t, func(id string) string {
+			return "HTTP/1.1 103 Hints\r\nX: a\r\n\r\n" + rawAnswer("200 OK", id, "Content-Length: 4\r\n\r\ndone")
+		})
+		status, body, err := order(t, address, "a")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "done", body)
+	})
+}
