fix: an answer of another version is no answer

Cause: net/http reads 'HTTP/2.0 200 OK' on a connection of HTTP/1.1. The test before the mend (go test ./relayer -run TestOddAnswers): --- FAIL: TestOddAnswersAreWholeOrFail/another_version expected: 502 actual: 200 Afterwards: ok.

--- a/dispatcher/judge.go
+++ b/dispatcher/judge.go
@@ -16,6 +16,8 @@
 // "" if it is one.
 func judge(response *http.Response) string {
 	switch {
+	case response.ProtoMajor != 1:
+		return "its version is " + response.Proto
 	case !pollencrank.IsFinalStatus(response.StatusCode):
 		return "it has no final status"
 	case response.StatusCode == http.StatusNoContent && announcesBody(response):
--- a/relayer/invalid_test.go
+++ b/relayer/invalid_test.go
@@ -157,4 +157,12 @@
 		require.Equal(t, http.StatusOK, status)
 		require.Equal(t, "done", body)
 	})
+	t.Run("another version", func(t *testing.T) {
+		address := serveRaw(t, func(id string) string {
+			return strings.Replace(rawAnswer("200 OK", id, "Content-Length: 4\r\n\r\ndone"), "HTTP/1.1", "HTTP/2.0", 1)
+		})
+		status, _, err := order(t, address, "a")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, status)
+	})
 }
