--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -123,9 +123,16 @@
 	if len(s.config.Only) == 0 {
 		return s.chooseKinds(all)
 	}
+	all = append(all, s.namedKinds()...)
 	return slices.DeleteFunc(all, func(k faultKind) bool { return !slices.Contains(s.config.Only, k.name) })
 }
 
+// namedKinds returns the kinds that are injected only if they are named: with them among the
+// others, each seed would draw other faults than it has drawn before.
+func (s *soak) namedKinds() []faultKind {
+	return []faultKind{{"answersNone", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})}}
+}
+
 // Shares of runs in which a kind of fault occurs. Runs with few kinds reveal failures
 // that a run with many faults hides: while the store is disturbed, no time bound is
 // checked.
@@ -156,7 +163,7 @@
 // FaultNames returns the names of all kinds of fault.
 func FaultNames() []string {
 	var names []string
-	for _, k := range (&soak{}).faultKinds() {
+	for _, k := range append((&soak{}).faultKinds(), (&soak{}).namedKinds()...) {
 		names = append(names, k.name)
 	}
 	return names
