fix: a server's trailer names nothing of the caller's connection

Cause: the unhosted path passed on every field of a trailer, also Connection, Transfer-Encoding, Content-Length and those that only the system sets.

The hosted path passes no trailer on.

--- a/receiver/request.go
+++ b/receiver/request.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/revoker"
@@ -281,13 +283,22 @@
 		// for a complete one.
 		panic(http.ErrAbortHandler)
 	}
-	for name, values := range answer.Trailer {
+	for name, values := range pollencrank.EndToEnd(answer.Trailer) {
+		if !mayTrail(name) {
+			continue
+		}
 		for _, value := range values {
 			header.Add(http.TrailerPrefix+name, value)
 		}
 	}
 }
 
+// mayTrail reports whether a field may be sent behind an answer: none of the connection, of the
+// framing, or of those that only the system sets.
+func mayTrail(name string) bool {
+	return httpguts.ValidTrailerHeader(name) && name != HeaderOutcome && name != HeaderReason
+}
+
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // copyBody copies the answer's body. A body of unknown length is flushed after
