--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -63,14 +63,14 @@
 func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
 	source := answer.Body
 	if answer.ContentLength > MaxBufferedAnswerBytes {
-		answer.Body = f.stream(ctx, call, answer.Body, backend)
+		answer.Body = f.stream(ctx, call, answer, backend)
 		return nil
 	}
 	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
 		answer.IsHeldBack = full.IsShare
-		answer.Body = f.stream(ctx, call, source, backend)
+		answer.Body = f.stream(ctx, call, answer, backend)
 		return nil
 	}
 	if err != nil {
@@ -89,7 +89,7 @@
 		return nil
 	}
 	answer.IsHeldBack = body.IsShareSpent()
-	streamed := f.stream(ctx, call, source, backend)
+	streamed := f.stream(ctx, call, answer, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
 	answer.Body = streamed
@@ -97,15 +97,15 @@
 }
 
 // stream returns the body of an answer that is passed on as it arrives.
-func (f *Forwarder) stream(ctx context.Context, call *Call, source io.ReadCloser, backend *registrar.Backend) *streamedBody {
+func (f *Forwarder) stream(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) *streamedBody {
 	b := &streamedBody{
-		Closer: source, reader: source, backend: backend, streams: f.streams,
+		Closer: answer.Body, reader: answer.Body, server: answer.Server, backend: backend, streams: f.streams,
 		maxPaused:     max(1, f.config.Budgets.ConnectionLimit(call.service.MaxConnections, time.Now())/pausedDivisor),
 		hasCallerLeft: func() bool { return errors.Is(context.Cause(ctx), context.Canceled) },
 	}
 	now := time.Now()
 	b.pausedAt.Store(now.UnixNano())
-	endStreams(f.streams.add(b, now))
+	f.endStreams(f.streams.add(b, now))
 	return b
 }
 
@@ -133,6 +133,8 @@
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
+	// server is the name of the server that sent the answer.
+	server string
 	// streams are those that the body is counted among.
 	streams *streams
 	// maxPaused is how many streams of its server may be paused.
--- a/forwarder/streams.go
+++ b/forwarder/streams.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 )
 
@@ -85,9 +87,9 @@
 // EndPausedStreams ends streamed answers whose callers do not read, if they occupy too many
 // connections to a server: other callers need these. It returns their number. Call it
 // periodically.
-func (f *Forwarder) EndPausedStreams(now time.Time) int { return endStreams(f.streams.surplus(now)) }
+func (f *Forwarder) EndPausedStreams(now time.Time) int { return f.endStreams(f.streams.surplus(now)) }
 
-func endStreams(surplus []*streamedBody) int {
+func (f *Forwarder) endStreams(surplus []*streamedBody) int {
 	ended := 0
 	for _, b := range surplus {
 		if b.isEnded.Swap(true) {
@@ -95,6 +97,8 @@
 		}
 		ended++
 		pausedStreamsTotal.Inc()
+		f.config.Log.Info("a caller does not read a streamed answer, and others need its connection to the server",
+			recorder.EventCallerUnread.Attr(), slog.String("server", b.server))
 		_ = b.Closer.Close()
 	}
 	return ended
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/expirer"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/rerouter"
@@ -311,6 +312,11 @@
 	}
 	w.WriteHeader(answer.Status)
 	if _, err := io.Copy(w, answer.Body); err != nil {
+		var unread *expirer.UnreadError
+		if errors.As(err, &unread) {
+			// Logged where the connection was ended; the server's answer is sound.
+			panic(http.ErrAbortHandler)
+		}
 		r.config.Log.Warn("copying the answer to the caller failed", recorder.EventAnswerTruncated.Attr(),
 			slog.String("request", answer.RequestID), slog.String("server", answer.Server), slog.Any("error", err))
 		// Aborting the handler closes the connection, so that the caller detects an
--- a/relayer/slow_test.go
+++ b/relayer/slow_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/forwarder"
+	"github.com/pollencrank/pollencrank/pipeliner"
+	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/relayer"
 	"github.com/pollencrank/pollencrank/router"
 	"github.com/pollencrank/pollencrank/stager"
@@ -47,3 +54,31 @@
 	require.NotEmpty(t, recorder.Header().Get("Retry-After"))
 	require.Contains(t, recorder.Body.String(), string(pollencrank.ReasonBodiesFull))
 }
+
+// Guards against a server that is said to have broken off its answer, when the caller took
+// nothing of it.
+func TestAnUnreadAnswerIsNotCalledTruncated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines strings.Builder
+		log := slog.New(slog.NewTextHandler(&lines, nil))
+		table := newTable()
+		r := relayer.New(relayer.Config{
+			Table: func() *router.Table { return table }, Dialect: dialect{}, Log: log,
+			Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
+				return answer(strings.Repeat("x", 100_000)), nil
+			}),
+		})
+		near, caller := net.Pipe()
+		callers := pipes{make(chan net.Conn, 1)}
+		callers.accepted <- near
+		close(callers.accepted)
+		server := pipeliner.New(pipeliner.Config{Handler: r, Log: log})
+		go func() { _ = server.Serve(callers) }()
+		_, err := io.WriteString(caller, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n")
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Contains(t, lines.String(), recorder.EventCallerUnread.String())
+		require.NotContains(t, lines.String(), recorder.EventAnswerTruncated.String())
+	})
+}
