--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -186,7 +186,7 @@
 		return nil, false
 	}
 	runsAlone := c.server.config.RunsAlone(request)
-	size := headerBytes + max(0, request.ContentLength)
+	size := headerBytes + min(max(0, request.ContentLength), maxCountedBytes)
 	isFull := c.held.Load()+size > c.server.config.MaxHeldBytes
 	if runsAlone || c.lastRunsAlone || isFull || !c.server.config.MayOverlap(request) {
 		c.awaitAll()
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -155,7 +155,7 @@
 	wantsClose := e.wantsClose()
 	e.chooseFraming(status)
 	if e.hasBody && e.contentLength > 0 {
-		e.hold(min(e.contentLength, maxCountedAnswerBytes))
+		e.hold(min(e.contentLength, maxCountedBytes))
 	}
 	e.awaitTurn()
 	if e.hasBody && e.contentLength < 0 && !e.request.ProtoAtLeast(1, 1) {
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -37,9 +37,9 @@
 	// defaultMaxHeldBytes bounds what is held for one connection if the configuration sets
 	// no bound.
 	defaultMaxHeldBytes = 4 << 20
-	// maxCountedAnswerBytes is the most that one answer counts for the bytes that are held
+	// maxCountedBytes is the most that one body or answer counts for the bytes that are held
 	// for its connection: longer ones are passed on as they arrive.
-	maxCountedAnswerBytes = 1 << 20
+	maxCountedBytes = 1 << 20
 	// fullRetryDelay is the time after which a caller may retry a request for whose header
 	// no memory was left, in seconds.
 	fullRetryDelay = "1"
