--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -12,15 +13,28 @@
 )
 
 const (
-	// maxBufferedAnswerBytes is the length up to which an answer is read to its end
+	// MaxBufferedAnswerBytes is the length up to which an answer is read to its end
 	// before its first byte is passed on, so that the request can be retried if the
 	// answer is truncated.
-	maxBufferedAnswerBytes = 1 << 20
-	// maxBufferedTotalBytes bounds the bytes buffered for all answers together.
-	// Answers beyond that are streamed.
-	maxBufferedTotalBytes = 32 << 20
+	MaxBufferedAnswerBytes = 1 << 20
+	// defaultBufferedBytes bounds the bytes buffered for all answers together unless the
+	// configuration does. Answers beyond that are streamed.
+	defaultBufferedBytes = 32 << 20
+	// callerPause is the time without a read of a streamed answer from which its caller, and
+	// not its server, is slow.
+	callerPause = time.Second
 )
 
+// NewAnswerStager returns a Stager that buffers answers until they are known to be complete.
+// total and shortTotal bound the bytes of all large and of all short ones; zero selects the
+// defaults.
+func NewAnswerStager(total, shortTotal int64) *stager.Stager {
+	if total <= 0 {
+		total = defaultBufferedBytes
+	}
+	return stager.New(stager.Config{PerBody: MaxBufferedAnswerBytes, Total: total, ShortTotal: shortTotal})
+}
+
 // verifyAnswer checks that an answer comes from the server itself and belongs to the
 // request. If the check fails, the outcome of the request is unknown.
 func verifyAnswer(answer *pollencrank.Answer, request *pollencrank.Request) error {
@@ -42,25 +56,21 @@
 	return nil
 }
 
-// bufferAnswer reads the body of an answer up to maxBufferedAnswerBytes, so that a
+// bufferAnswer reads the body of an answer up to MaxBufferedAnswerBytes, so that a
 // truncated one is detected before any of it is passed on. A longer body is streamed,
 // and a failure is recorded for its server when the stream fails, unless the answer comes
 // through another instance and backend is nil.
-func (f *Forwarder) bufferAnswer(ctx context.Context, answer *pollencrank.Answer, backend *registrar.Backend) error {
+func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
 	source := answer.Body
-	streamed := &streamedBody{Closer: source, backend: backend, hasCallerLeft: func() bool {
-		return errors.Is(context.Cause(ctx), context.Canceled)
-	}}
-	if answer.ContentLength > maxBufferedAnswerBytes {
-		streamed.reader = source
-		answer.Body = streamed
+	if answer.ContentLength > MaxBufferedAnswerBytes {
+		answer.Body = f.stream(ctx, call, answer, backend)
 		return nil
 	}
-	body, err := f.answerStager.Stage(source, answer.ContentLength)
+	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
-		streamed.reader = source
-		answer.Body = streamed
+		answer.IsHeldBack = full.IsShare
+		answer.Body = f.stream(ctx, call, answer, backend)
 		return nil
 	}
 	if err != nil {
@@ -78,18 +88,36 @@
 		answer.Body = &bufferedBody{Reader: body.Reader(), body: body}
 		return nil
 	}
+	answer.IsHeldBack = body.IsShareSpent()
+	streamed := f.stream(ctx, call, answer, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
 	answer.Body = streamed
 	return nil
 }
 
+// stream returns the body of an answer that is passed on as it arrives.
+func (f *Forwarder) stream(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) *streamedBody {
+	b := &streamedBody{
+		Closer: answer.Body, reader: answer.Body, server: answer.Server, backend: backend, streams: f.streams,
+		maxPaused:     max(1, f.config.Budgets.ConnectionLimit(call.service.MaxConnections, time.Now())/pausedDivisor),
+		hasCallerLeft: func() bool { return errors.Is(context.Cause(ctx), context.Canceled) },
+	}
+	now := time.Now()
+	b.pausedAt.Store(now.UnixNano())
+	f.endStreams(f.streams.add(b, now))
+	return b
+}
+
 // bufferedBody is a body that is buffered completely.
 type bufferedBody struct {
 	io.Reader
 	body *stager.Body
 }
 
+// WriteTo implements io.WriterTo: no second buffer is needed while the caller reads.
+func (b *bufferedBody) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, b.Reader) }
+
 // Close implements io.Closer.
 func (b *bufferedBody) Close() error {
 	b.body.Release()
@@ -98,26 +126,64 @@
 
 // streamedBody is a body that is passed on as it arrives. If reading it fails or does
 // not end before the deadline, a failure is recorded for its server, unless the caller
-// has left.
+// has left or was slow to read: servers give up on answers that stay unread.
 type streamedBody struct {
 	io.Closer
 	reader        io.Reader
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
+	// server is the name of the server that sent the answer.
+	server string
+	// streams are those that the body is counted among.
+	streams *streams
+	// maxPaused is how many streams of its server may be paused.
+	maxPaused int
+	// pausedAt is when the last read has ended, in nanoseconds, or zero during a read.
+	pausedAt atomic.Int64
+	// isEnded is set once the body was ended because its caller does not read.
+	isEnded atomic.Bool
+	// waited is how long reads have taken, paused the time between them.
+	waited, paused time.Duration
+	// isCallerSlow is set once the caller has not read for callerPause.
+	isCallerSlow bool
 }
 
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
+	started := time.Now()
+	pause := b.pause(started)
+	b.pausedAt.Store(0)
+	b.paused += pause
+	b.isCallerSlow = b.isCallerSlow || pause >= callerPause
 	n, err := b.reader.Read(p)
-	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.hasCallerLeft() {
-		b.backend.RecordFailure(time.Now())
+	now := time.Now()
+	b.waited += now.Sub(started)
+	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.isOfCaller(err) {
+		b.backend.RecordFailure(now)
 	}
+	b.pausedAt.Store(now.UnixNano())
 	return n, err
 }
 
+// pause returns how long the caller has not read, or zero during a read.
+func (b *streamedBody) pause(now time.Time) time.Duration {
+	pausedAt := b.pausedAt.Load()
+	if pausedAt == 0 {
+		return 0
+	}
+	return max(0, time.Duration(now.UnixNano()-pausedAt))
+}
+
+// isOfCaller reports whether the caller, and not the server, is the cause of an error.
+func (b *streamedBody) isOfCaller(err error) bool {
+	isLate := errors.Is(err, context.DeadlineExceeded) && b.paused > b.waited
+	return b.isCallerSlow || isLate || b.hasCallerLeft()
+}
+
 // Close implements io.Closer.
 func (b *streamedBody) Close() error {
+	b.streams.remove(b)
 	if b.buffered != nil {
 		b.buffered.Release()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,6 +78,8 @@
 	Suspects  Suspects
 	// Rerouter, if set, sends requests through other instances.
 	Rerouter Rerouter
+	// AnswerStager buffers answers. The default is NewAnswerStager with default bounds.
+	AnswerStager *stager.Stager
 	// Suspended, if set, returns the total time for which the machine has been
 	// suspended.
 	Suspended func() time.Duration
@@ -90,9 +92,8 @@
 	serviceTimes  *selector.ServiceTimes
 	objectHistory *selector.ObjectHistory
 	placements    *placements
-	// answerStager buffers answers until they are known to be complete.
-	answerStager *stager.Stager
-	suspectRuns  suspectRuns
+	suspectRuns   suspectRuns
+	streams       *streams
 	// checks counts the checks of servers that run in the background.
 	checks sync.WaitGroup
 }
@@ -102,6 +103,9 @@
 	if config.Suspended == nil {
 		config.Suspended = func() time.Duration { return 0 }
 	}
+	if config.AnswerStager == nil {
+		config.AnswerStager = NewAnswerStager(0, 0)
+	}
 	if config.Rerouter == nil {
 		config.Rerouter = noRerouter{}
 	}
@@ -110,8 +114,8 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
+		streams:       newStreams(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
-		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
 }
 
@@ -137,6 +141,8 @@
 	// TokenUntil, if set, returns until when the request may be sent as BeforeSend has
 	// allowed.
 	TokenUntil func() time.Time
+	// Share, if set, bounds what is held for the caller.
+	Share *stager.Share
 	// Course is filled in by Forward.
 	Course Course
 
@@ -312,7 +318,7 @@
 		err = verifyAnswer(answer, request)
 	}
 	if err == nil {
-		err = f.bufferAnswer(ctx, answer, backend)
+		err = f.bufferAnswer(ctx, call, answer, backend)
 	}
 	backend.End(sent)
 	if err != nil && call.BodyFailure != nil && call.BodyFailure() != nil {
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/recorder"
 )
 
 // exchange is one request and its answer. It implements http.ResponseWriter for
@@ -25,6 +28,9 @@
 	body    *requestBody
 	// previous is the exchange whose answer is sent before this one's.
 	previous *exchange
+	// headerBytes is the size of the request's header, held what the exchange holds of the
+	// connection's bytes.
+	headerBytes, held int64
 	// ended is closed when the answer was sent or the exchange failed.
 	ended chan struct{}
 
@@ -65,10 +71,21 @@
 func (e *exchange) run() {
 	defer e.conn.end(e)
 	defer e.recover()
-	e.conn.server.config.Handler.ServeHTTP(e, e.request)
+	server := e.conn.server
+	defer server.requestBytes.Add(-e.headerBytes)
+	server.handlerOf(e.headerBytes).ServeHTTP(e, e.request)
 	e.finish()
 }
 
+// hold counts bytes as held for the connection until the exchange has ended.
+func (e *exchange) hold(n int64) {
+	e.held += n
+	e.conn.held.Add(n)
+}
+
+// release releases what the exchange holds.
+func (e *exchange) release() { e.conn.held.Add(-e.held) }
+
 // recover aborts the connection if the handler panicked, so that the caller does not
 // take a partial answer for a complete one.
 func (e *exchange) recover() {
@@ -127,13 +144,20 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (e *exchange) WriteHeader(status int) {
-	if e.isHeaderSent || status < http.StatusOK {
+	if e.isHeaderSent {
 		return
 	}
+	if !pollencrank.IsFinalStatus(status) {
+		e.conn.server.config.Log.Error("a handler wrote a status that is none", recorder.EventAnswerInvalid.Attr(), slog.Int("status", status))
+		panic(http.ErrAbortHandler)
+	}
 	e.isHeaderSent = true
 	wantsClose := e.wantsClose()
-	e.awaitTurn()
 	e.chooseFraming(status)
+	if e.hasBody && e.contentLength > 0 {
+		e.hold(min(e.contentLength, maxCountedBytes))
+	}
+	e.awaitTurn()
 	if e.hasBody && e.contentLength < 0 && !e.request.ProtoAtLeast(1, 1) {
 		wantsClose = true
 	}
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/pollencrank/pollencrank"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/revoker"
@@ -268,6 +270,10 @@
 	if answer.ContentLength >= 0 && header.Get("Content-Length") == "" && request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	if !pollencrank.IsFinalStatus(answer.Status) {
+		// A writer would leave such a status out and send another one.
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(answer.Status)
 	if err := copyBody(w, answer); err != nil {
 		r.metrics.truncated.Inc()
@@ -277,13 +283,22 @@
 		// for a complete one.
 		panic(http.ErrAbortHandler)
 	}
-	for name, values := range answer.Trailer {
+	for name, values := range pollencrank.EndToEnd(answer.Trailer) {
+		if !mayTrail(name) {
+			continue
+		}
 		for _, value := range values {
 			header.Add(http.TrailerPrefix+name, value)
 		}
 	}
 }
 
+// mayTrail reports whether a field may be sent behind an answer: none of the connection, of the
+// framing, or of those that only the system sets.
+func mayTrail(name string) bool {
+	return httpguts.ValidTrailerHeader(name) && name != HeaderOutcome && name != HeaderReason
+}
+
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // copyBody copies the answer's body. A body of unknown length is flushed after
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/expirer"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/rerouter"
@@ -210,7 +211,7 @@
 		return
 	}
 	defer answer.Body.Close()
-	if !answer.IsWhole {
+	if !answer.IsWhole && !answer.IsHeldBack {
 		r.streamedRoutes.add(call.Route.Name, time.Now())
 	}
 	if body.isInUse() {
@@ -230,6 +231,13 @@
 	return r.config.Forwarder.Forward(ctx, call)
 }
 
+// RefuseFull refuses a request for which no memory is left, before its body is read.
+func (r *Relayer) RefuseFull(w http.ResponseWriter, incoming *http.Request) {
+	err := pollencrank.NotRun(pollencrank.ReasonBodiesFull, "no memory is left for the request")
+	err.RetryAt = time.Now().Add(bodiesFullRetryDelay)
+	r.writeError(w, nil, r.config.Dialect.ReadCaller(incoming.Header), err, time.Now())
+}
+
 // awaitReady waits until an instance that has just started can serve requests, for at
 // most maxReadyWait and half of the caller's timeout.
 func (r *Relayer) awaitReady(ctx context.Context, headers CallerHeaders) {
@@ -291,6 +299,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	call := &forwarder.Call{
+		Share:     stager.ShareOf(incoming.Context()),
 		Table:     table,
 		Route:     route,
 		Tenant:    tenant,
@@ -320,6 +329,10 @@
 
 // writeAnswer writes a server's answer to the caller.
 func (r *Relayer) writeAnswer(w http.ResponseWriter, answer *pollencrank.Answer) {
+	if !pollencrank.IsFinalStatus(answer.Status) {
+		// A writer would leave such a status out and send another one.
+		panic(http.ErrAbortHandler)
+	}
 	header := w.Header()
 	for name, values := range pollencrank.EndToEnd(answer.Header) {
 		header[name] = values
@@ -329,6 +342,11 @@
 	}
 	w.WriteHeader(answer.Status)
 	if _, err := io.Copy(w, answer.Body); err != nil {
+		var unread *expirer.UnreadError
+		if errors.As(err, &unread) {
+			// Logged where the connection was ended; the server's answer is sound.
+			panic(http.ErrAbortHandler)
+		}
 		r.config.Log.Warn("copying the answer to the caller failed", recorder.EventAnswerTruncated.Attr(),
 			slog.String("request", answer.RequestID), slog.String("server", answer.Server), slog.Any("error", err))
 		// Aborting the handler closes the connection, so that the caller detects an
