fix: streamed answers are not ended because their callers pause; probes have a connection of their own

Cause: waiting for the turn behind other answers counted as a pause, and 0.3 s is no proof that a caller takes nothing: sound callers lost answers. A probe uses none of the connections for requests, so that a server does not look dead while streams hold them; it is one of those that the server accepts (with a limit of one, there is one more).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -89,10 +89,19 @@
 
 	// transports is copied on write under mu, so that requests read it without a
 	// lock.
-	transports atomic.Pointer[map[Target]*http.Transport]
+	transports atomic.Pointer[map[Target]*transports]
 	mu         sync.Mutex
 }
 
+// transports are the transports to one server. Probes have a connection of their own: answers
+// whose callers read slowly may occupy all others.
+type transports struct{ requests, probes *http.Transport }
+
+func (t *transports) closeIdleConnections() {
+	t.requests.CloseIdleConnections()
+	t.probes.CloseIdleConnections()
+}
+
 // New returns a Dispatcher.
 func New(config Config) *Dispatcher {
 	if config.DialContext == nil {
@@ -108,14 +117,14 @@
 		config.IdleTimeout = idleTimeout
 	}
 	d := &Dispatcher{config: config}
-	d.transports.Store(&map[Target]*http.Transport{})
+	d.transports.Store(&map[Target]*transports{})
 	return d
 }
 
 // Close closes the idle connections to every server.
 func (d *Dispatcher) Close() {
 	for _, t := range *d.transports.Load() {
-		t.CloseIdleConnections()
+		t.closeIdleConnections()
 	}
 }
 
@@ -128,13 +137,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	next := map[Target]*http.Transport{}
+	next := map[Target]*transports{}
 	for target, transport := range *d.transports.Load() {
 		if kept[target] {
 			next[target] = transport
 			continue
 		}
-		transport.CloseIdleConnections()
+		transport.closeIdleConnections()
 	}
 	d.transports.Store(&next)
 }
@@ -151,7 +160,7 @@
 	d.Keep(targets)
 }
 
-func (d *Dispatcher) transport(target Target) *http.Transport {
+func (d *Dispatcher) transport(target Target) *transports {
 	target = connectionKey(target)
 	if t := (*d.transports.Load())[target]; t != nil {
 		return t
@@ -168,27 +177,38 @@
 	return target
 }
 
-func (d *Dispatcher) addTransport(target Target) *http.Transport {
+func (d *Dispatcher) addTransport(target Target) *transports {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := *d.transports.Load()
 	if t := current[target]; t != nil {
 		return t
 	}
-	t := &http.Transport{
+	// One of the connections that the server accepts is that of probes.
+	requestConnections := max(1, target.MaxConnections-1)
+	t := &transports{
+		requests: d.newTransport(requestConnections, requestConnections),
+		probes:   d.newTransport(0, 1),
+	}
+	next := maps.Clone(current)
+	next[target] = t
+	d.transports.Store(&next)
+	return t
+}
+
+// newTransport returns a transport with at most maxConnections to a server, or any number if
+// that is zero, of which maxIdle stay open.
+func (d *Dispatcher) newTransport(maxConnections, maxIdle int) *http.Transport {
+	return &http.Transport{
 		DialContext:         d.dialCounted,
-		MaxConnsPerHost:     target.MaxConnections,
-		MaxIdleConnsPerHost: target.MaxConnections,
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     d.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	next := maps.Clone(current)
-	next[target] = t
-	d.transports.Store(&next)
-	return t
 }
 
 func (d *Dispatcher) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
@@ -210,7 +230,7 @@
 		if err != nil {
 			return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
 		}
-		response, err := d.transport(target).RoundTrip(outgoing)
+		response, err := d.transport(target).requests.RoundTrip(outgoing)
 		if err == nil {
 			return d.receive(target, request, response, attempt)
 		}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -258,6 +260,50 @@
 	require.LessOrEqual(t, maxOpen.Load(), int64(limit))
 }
 
+// Guards against a server that looks dead while answers occupy all connections for requests.
+// The connection of probes counts among those that the server accepts.
+func TestAProbeNeedsNoConnectionOfRequests(t *testing.T) {
+	const limit = 3
+	var dialed atomic.Int64
+	running, ended := make(chan struct{}, limit), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/healthz" {
+			running <- struct{}{}
+			<-ended
+		}
+	}))
+	defer server.Close()
+	release := sync.OnceFunc(func() { close(ended) })
+	defer release()
+	d := dispatcher.New(dispatcher.Config{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	defer d.Close()
+	target := dispatcher.Target{Name: "s", Address: server.Listener.Addr().String(), MaxConnections: limit}
+	errs := make(chan error, limit)
+	for range limit {
+		go func() {
+			answer, err := d.Send(context.Background(), target, lookup())
+			if err == nil {
+				err = answer.Body.Close()
+			}
+			errs <- err
+		}()
+	}
+	for range limit - 1 {
+		<-running
+	}
+	health, err := d.Probe(context.Background(), target)
+	require.NoError(t, err)
+	require.True(t, health.OK)
+	release()
+	for range limit {
+		require.NoError(t, <-errs)
+	}
+	require.LessOrEqual(t, dialed.Load(), int64(limit))
+}
+
 // Guards against closing the connections of a server that is still listed, also if its
 // target leaves MaxConnections at the default.
 func TestKeepRetainsConnectionsOfListedServers(t *testing.T) {
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -38,8 +38,12 @@
 }
 
 // Probe requests the health of a server. It returns an error if the server did not
-// answer.
+// answer. It needs none of the connections for requests.
 func (d *Dispatcher) Probe(ctx context.Context, target Target) (Health, error) {
+	return d.probe(ctx, target, d.transport(target).probes)
+}
+
+func (d *Dispatcher) probe(ctx context.Context, target Target, transport *http.Transport) (Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	path := target.HealthPath
@@ -51,7 +55,7 @@
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
-	response, err := d.transport(target).RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return Health{}, fmt.Errorf("probe server %s: %w", target.Name, err)
 	}
@@ -80,11 +84,12 @@
 // Warm opens connections by sending concurrent probes to a server, so that the first
 // requests need not wait for connections to be established.
 func (d *Dispatcher) Warm(ctx context.Context, target Target, connections int) (Health, error) {
+	transport := d.transport(target).requests
 	var wait sync.WaitGroup
 	for range connections - 1 {
-		wait.Go(func() { _, _ = d.Probe(ctx, target) })
+		wait.Go(func() { _, _ = d.probe(ctx, target, transport) })
 	}
-	health, err := d.Probe(ctx, target)
+	health, err := d.probe(ctx, target, transport)
 	wait.Wait()
 	return health, err
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/pollencrank/pollencrank"
@@ -63,14 +62,14 @@
 func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
 	source := answer.Body
 	if answer.ContentLength > MaxBufferedAnswerBytes {
-		answer.Body = f.stream(ctx, call, answer, backend)
+		answer.Body = stream(ctx, answer, backend)
 		return nil
 	}
 	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
 		answer.IsHeldBack = full.IsShare
-		answer.Body = f.stream(ctx, call, answer, backend)
+		answer.Body = stream(ctx, answer, backend)
 		return nil
 	}
 	if err != nil {
@@ -89,7 +88,7 @@
 		return nil
 	}
 	answer.IsHeldBack = body.IsShareSpent()
-	streamed := f.stream(ctx, call, answer, backend)
+	streamed := stream(ctx, answer, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
 	answer.Body = streamed
@@ -97,16 +96,12 @@
 }
 
 // stream returns the body of an answer that is passed on as it arrives.
-func (f *Forwarder) stream(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) *streamedBody {
-	b := &streamedBody{
-		Closer: answer.Body, reader: answer.Body, server: answer.Server, backend: backend, streams: f.streams,
-		maxPaused:     max(1, f.config.Budgets.ConnectionLimit(call.service.MaxConnections, time.Now())/pausedDivisor),
+func stream(ctx context.Context, answer *pollencrank.Answer, backend *registrar.Backend) *streamedBody {
+	return &streamedBody{
+		Closer: answer.Body, reader: answer.Body, backend: backend,
 		hasCallerLeft: func() bool { return errors.Is(context.Cause(ctx), context.Canceled) },
+		pausedAt:      time.Now(),
 	}
-	now := time.Now()
-	b.pausedAt.Store(now.UnixNano())
-	f.endStreams(f.streams.add(b, now))
-	return b
 }
 
 // bufferedBody is a body that is buffered completely.
@@ -133,16 +128,8 @@
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
-	// server is the name of the server that sent the answer.
-	server string
-	// streams are those that the body is counted among.
-	streams *streams
-	// maxPaused is how many streams of its server may be paused.
-	maxPaused int
-	// pausedAt is when the last read has ended, in nanoseconds, or zero during a read.
-	pausedAt atomic.Int64
-	// isEnded is set once the body was ended because its caller does not read.
-	isEnded atomic.Bool
+	// pausedAt is when the last read has ended.
+	pausedAt time.Time
 	// waited is how long reads have taken, paused the time between them.
 	waited, paused time.Duration
 	// isCallerSlow is set once the caller has not read for callerPause.
@@ -152,8 +139,7 @@
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
 	started := time.Now()
-	pause := b.pause(started)
-	b.pausedAt.Store(0)
+	pause := started.Sub(b.pausedAt)
 	b.paused += pause
 	b.isCallerSlow = b.isCallerSlow || pause >= callerPause
 	n, err := b.reader.Read(p)
@@ -162,19 +148,10 @@
 	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.isOfCaller(err) {
 		b.backend.RecordFailure(now)
 	}
-	b.pausedAt.Store(now.UnixNano())
+	b.pausedAt = now
 	return n, err
 }
 
-// pause returns how long the caller has not read, or zero during a read.
-func (b *streamedBody) pause(now time.Time) time.Duration {
-	pausedAt := b.pausedAt.Load()
-	if pausedAt == 0 {
-		return 0
-	}
-	return max(0, time.Duration(now.UnixNano()-pausedAt))
-}
-
 // isOfCaller reports whether the caller, and not the server, is the cause of an error.
 func (b *streamedBody) isOfCaller(err error) bool {
 	isLate := errors.Is(err, context.DeadlineExceeded) && b.paused > b.waited
@@ -183,7 +160,6 @@
 
 // Close implements io.Closer.
 func (b *streamedBody) Close() error {
-	b.streams.remove(b)
 	if b.buffered != nil {
 		b.buffered.Release()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -93,7 +93,6 @@
 	objectHistory *selector.ObjectHistory
 	placements    *placements
 	suspectRuns   suspectRuns
-	streams       *streams
 	// checks counts the checks of servers that run in the background.
 	checks sync.WaitGroup
 }
@@ -114,7 +113,6 @@
 		serviceTimes:  selector.NewServiceTimes(),
 		objectHistory: selector.NewObjectHistory(),
 		placements:    &placements{config: config},
-		streams:       newStreams(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
 	}
 }
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -109,10 +109,6 @@
 func (f *Forwarder) watchSilence(call *Call, server registrar.Server, expected time.Duration) (stop func() bool) {
 	service := call.service.Name
 	timer := time.AfterFunc(max(minSilence, silenceFactor*expected), func() {
-		if f.EndPausedStreams(time.Now()) > 0 {
-			// The attempt may have waited for one of their connections.
-			return
-		}
 		f.config.Rerouter.ObserveFailure(service, server.ID, time.Now())
 	})
 	return timer.Stop
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -284,7 +284,6 @@
 				limit = table.Limits.IdleTimeout
 			}
 			h.idles.Sweep(limit, now)
-			h.forwarder.EndPausedStreams(now)
 			h.state.Expire(!h.replicator.IsStoreUnavailable(), now)
 			h.registrar.Expire()
 			h.closeRemovedServers()
