fix: a caller that takes nothing is ended after 30 s

Cause: 10 s also ended callers behind a short partition, since retransmissions back off. Change: 30 s. TestALinkThatIsQuietAfterAPartitionIsKept fails with 10 s and passes.

--- a/expirer/expirer.go
+++ b/expirer/expirer.go
@@ -22,8 +22,9 @@
 
 const (
 	// DefaultTimeout is how long a peer may take nothing if the configuration sets no
-	// timeout.
-	DefaultTimeout = 10 * time.Second
+	// timeout. Retransmissions back off: after an outage of 6 s a sound link may stay quiet
+	// for another 6 s.
+	DefaultTimeout = 30 * time.Second
 	// periods is the number of checks for progress within the timeout.
 	periods = 4
 )
--- a/expirer/expirer_test.go
+++ b/expirer/expirer_test.go
@@ -96,3 +96,21 @@
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	require.NoError(t, <-written)
 }
+
+// Guards against a caller that is ended behind a short partition: retransmissions back off, so
+// that a link which is gone for 6 s may be quiet for twice as long.
+func TestALinkThatIsQuietAfterAPartitionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		written := make(chan error, 1)
+		go func() {
+			_, err := expirer.New(near, expirer.Config{}).Write(make([]byte, 20))
+			written <- err
+		}()
+		time.Sleep(20 * time.Second)
+		_, err := io.ReadFull(far, make([]byte, 20))
+		require.NoError(t, err)
+		require.NoError(t, <-written)
+	})
+}
