fix: a connection begins no request beside an answer that is streamed beyond its share

Cause: an answer beyond the caller's share is streamed, and its route is not marked, so up to 15 others were begun beside it; if its server broke off, all were lost after they had run. Change: RunsAlone knows the connection by its share and holds while such an answer drains. Those that had begun before go on. TestAConnectionRunsAloneUntilAHeldBackAnswerHasDrained and TestRunsAloneGetsTheContextOfTheConnection fail without the change.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -185,6 +185,7 @@
 	case <-c.ctx.Done():
 		return nil, false
 	}
+	request = request.WithContext(c.ctx)
 	runsAlone := c.server.config.RunsAlone(request)
 	size := headerBytes + min(max(0, request.ContentLength), maxCountedBytes)
 	isFull := c.held.Load()+size > c.server.config.MaxHeldBytes
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -47,7 +47,7 @@
 func newExchange(c *conn, request *http.Request, previous *exchange) *exchange {
 	e := &exchange{
 		conn:          c,
-		request:       request.WithContext(c.ctx),
+		request:       request,
 		previous:      previous,
 		ended:         make(chan struct{}),
 		header:        http.Header{},
--- a/pipeliner/unread_test.go
+++ b/pipeliner/unread_test.go
@@ -276,3 +276,26 @@
 		require.ErrorIs(t, err, io.EOF)
 	})
 }
+
+// Guards against a decision on a request that cannot know its connection.
+func TestRunsAloneGetsTheContextOfTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		type key struct{}
+		got := make(chan any, 1)
+		_, listener := servePipes(t, pipeliner.Config{
+			Handler:     http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+			ConnContext: func(ctx context.Context) context.Context { return context.WithValue(ctx, key{}, "connection") },
+			RunsAlone: func(r *http.Request) bool {
+				got <- r.Context().Value(key{})
+				return false
+			},
+		})
+		caller := listener.dial()
+		_, err := io.WriteString(caller, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, "connection", <-got)
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	})
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -151,8 +151,12 @@
 }
 
 // RunsAlone reports whether no other request of its connection may be sent on beside a
-// request, because its route has lately had answers that are not held as a whole.
+// request, because its route has lately had answers that are not held as a whole, or its
+// connection has one now: if that breaks off, no other answer can follow.
 func (r *Relayer) RunsAlone(incoming *http.Request) bool {
+	if stager.ShareOf(incoming.Context()).IsStreaming() {
+		return true
+	}
 	table := r.config.Table()
 	if table == nil || !r.streamedRoutes.wasUsed.Load() {
 		return false
@@ -211,7 +215,11 @@
 		return
 	}
 	defer answer.Body.Close()
-	if !answer.IsWhole && !answer.IsHeldBack {
+	switch {
+	case answer.IsWhole:
+	case answer.IsHeldBack:
+		defer call.Share.BeginStream()()
+	default:
 		r.streamedRoutes.add(call.Route.Name, time.Now())
 	}
 	if body.isInUse() {
--- a/relayer/slow_test.go
+++ b/relayer/slow_test.go
@@ -46,6 +46,37 @@
 	}
 }
 
+// Guards against answers that are lost after their requests have run, because one before them
+// is streamed beyond the caller's share and breaks off.
+func TestAConnectionRunsAloneUntilAHeldBackAnswerHasDrained(t *testing.T) {
+	share, table := stager.NewShare(1), newTable()
+	other := httptest.NewRequestWithContext(stager.WithShare(t.Context(), stager.NewShare(1)), http.MethodGet, "http://a.example/x/1", nil)
+	incoming := httptest.NewRequestWithContext(stager.WithShare(t.Context(), share), http.MethodGet, "http://a.example/x/1", nil)
+	var r *relayer.Relayer
+	reads := 0
+	r = relayer.New(relayer.Config{
+		Table: func() *router.Table { return table }, Dialect: dialect{}, Log: slog.New(slog.DiscardHandler),
+		Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
+			a := answer("streamed")
+			a.IsHeldBack = true
+			a.Body = io.NopCloser(readFunc(func([]byte) (int, error) {
+				reads++
+				require.True(t, r.RunsAlone(incoming))
+				require.False(t, r.RunsAlone(other))
+				return 0, io.EOF
+			}))
+			return a, nil
+		}),
+	})
+	r.ServeHTTP(httptest.NewRecorder(), incoming)
+	require.Equal(t, 1, reads)
+	require.False(t, r.RunsAlone(incoming))
+}
+
+type readFunc func(p []byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
 func TestARequestIsRefusedForWantOfMemory(t *testing.T) {
 	r := relayer.New(relayer.Config{Dialect: dialect{}, Log: slog.New(slog.DiscardHandler)})
 	recorder := httptest.NewRecorder()
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -86,7 +86,11 @@
 
 // Share is the part of the memory that the bodies of one caller may take. A nil Share sets
 // no bound. It is safe for concurrent use.
-type Share struct{ budget budget }
+type Share struct {
+	budget budget
+	// streams are the answers that are streamed because the share is spent.
+	streams atomic.Int64
+}
 
 // NewShare returns a Share of the given number of bytes.
 func NewShare(total int64) *Share { return &Share{budget: budget{total: total}} }
@@ -107,6 +111,19 @@
 	}
 }
 
+// BeginStream records that an answer is streamed because the share is spent. The returned
+// function records its end.
+func (s *Share) BeginStream() (end func()) {
+	if s == nil {
+		return func() {}
+	}
+	s.streams.Add(1)
+	return func() { s.streams.Add(-1) }
+}
+
+// IsStreaming reports whether answers are streamed because the share is spent.
+func (s *Share) IsStreaming() bool { return s != nil && s.streams.Load() > 0 }
+
 type shareKey struct{}
 
 // WithShare returns a context that carries the Share of a caller.
