fix: a slow caller excuses only what fails while it is slow; lines on invalid answers are limited

Change: the last pause decides; a line a second for each server, with the number of those left out; both log before they abort. A server that cuts off an unread answer counts as failing if the caller has read since.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -95,7 +95,10 @@
 
 // transports are the transports to one server. Probes have a connection of their own: answers
 // whose callers read slowly may occupy all others.
-type transports struct{ requests, probes *http.Transport }
+type transports struct {
+	requests, probes *http.Transport
+	invalid          lineLimit
+}
 
 func (t *transports) closeIdleConnections() {
 	t.requests.CloseIdleConnections()
--- a/dispatcher/judge.go
+++ b/dispatcher/judge.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -33,8 +35,8 @@
 	return strings.Trim(length, "0") != "" || len(response.TransferEncoding) > 0
 }
 
-// invalidAnswer returns the error of a request whose server sent something that is no answer,
-// or nil if it is one. The connection is not used again. The server may have run the request.
+// invalidAnswer returns the error of a request whose server sent an invalid answer, or nil
+// if the answer is valid. The connection is not used again. The server may have run the request.
 func (d *Dispatcher) invalidAnswer(target Target, response *http.Response, attempt *attempt) error {
 	fault := judge(response)
 	if fault == "" {
@@ -43,7 +45,34 @@
 	attempt.abandonConnection()
 	_ = response.Body.Close()
 	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_invalid_answers_total{server=%q}`, target.Name)).Inc()
-	d.config.Log.Warn("a server sent an answer that is none", recorder.EventAnswerInvalid.Attr(),
-		slog.String("server", target.Name), slog.String("statusLine", fmt.Sprintf("%.40q", response.Status)), slog.String("fault", fault))
-	return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerInvalid, "the answer of server %s is none: %s: status %03d", target.Name, fault, response.StatusCode)
+	if unlogged, mayLog := d.transport(target).invalid.admit(time.Now()); mayLog {
+		d.config.Log.Warn("a server sent an invalid answer", recorder.EventAnswerInvalid.Attr(),
+			slog.String("server", target.Name), slog.String("statusLine", fmt.Sprintf("%.40q", response.Status)),
+			slog.String("fault", fault), slog.Int("unlogged", unlogged))
+	}
+	return pollencrank.OutcomeUnknown(pollencrank.ReasonAnswerInvalid, "the answer of server %s is invalid: %s: status %03d", target.Name, fault, response.StatusCode)
+}
+
+// minLineInterval is the time between two lines on invalid answers of one server.
+const minLineInterval = time.Second
+
+// lineLimit limits the lines on invalid answers of one server. It is safe for concurrent use.
+type lineLimit struct {
+	mu       sync.Mutex
+	nextAt   time.Time
+	unlogged int
+}
+
+// admit reports whether a line may be logged, and how many were not since the last one.
+func (l *lineLimit) admit(now time.Time) (unlogged int, mayLog bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.nextAt) {
+		l.unlogged++
+		return 0, false
+	}
+	unlogged = l.unlogged
+	l.unlogged = 0
+	l.nextAt = now.Add(minLineInterval)
+	return unlogged, true
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -132,7 +132,7 @@
 	pausedAt time.Time
 	// waited is how long reads have taken, paused the time between them.
 	waited, paused time.Duration
-	// isCallerSlow is set once the caller has not read for callerPause.
+	// isCallerSlow says whether the caller had not read for callerPause before the last read.
 	isCallerSlow bool
 }
 
@@ -141,7 +141,7 @@
 	started := time.Now()
 	pause := started.Sub(b.pausedAt)
 	b.paused += pause
-	b.isCallerSlow = b.isCallerSlow || pause >= callerPause
+	b.isCallerSlow = pause >= callerPause
 	n, err := b.reader.Read(p)
 	now := time.Now()
 	b.waited += now.Sub(started)
--- a/forwarder/slow_test.go
+++ b/forwarder/slow_test.go
@@ -156,6 +156,25 @@
 	return r.source.Read(p)
 }
 
+// Guards against a caller that was slow once and excuses every later failure of the server.
+func TestACallerThatWasSlowExcusesNoLaterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.sender.reply = func(server string, _ int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+			a := soundAnswer(server, r)
+			a.ContentLength = forwarder.MaxBufferedAnswerBytes + 1
+			a.Body = io.NopCloser(&pacedBody{reads: 5, err: io.ErrUnexpectedEOF})
+			return a, nil
+		}
+		answer, err := s.forwardRequest(t.Context(), "17")
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		require.Positive(t, s.registrar.Find(answer.Server).Health(time.Now()).FailureShare)
+	})
+}
+
 // closableBody tells when it is closed.
 type closableBody struct {
 	io.Reader
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -272,6 +272,8 @@
 	}
 	if !pollencrank.IsFinalStatus(answer.Status) {
 		// A writer would leave such a status out and send another one.
+		r.config.Log.Error("an answer has no final status", recorder.EventAnswerInvalid.Attr(),
+			slog.String("server", answer.Server), slog.Int("status", answer.Status))
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(answer.Status)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -339,6 +339,8 @@
 func (r *Relayer) writeAnswer(w http.ResponseWriter, answer *pollencrank.Answer) {
 	if !pollencrank.IsFinalStatus(answer.Status) {
 		// A writer would leave such a status out and send another one.
+		r.config.Log.Error("an answer has no final status", recorder.EventAnswerInvalid.Attr(),
+			slog.String("server", answer.Server), slog.Int("status", answer.Status))
 		panic(http.ErrAbortHandler)
 	}
 	header := w.Header()
--- a/relayer/slow_test.go
+++ b/relayer/slow_test.go
@@ -77,6 +77,24 @@
 
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
+// Guards against an exchange that is aborted without a line in the log.
+func TestAnAnswerWithoutAFinalStatusIsLogged(t *testing.T) {
+	var lines strings.Builder
+	table := newTable()
+	r := relayer.New(relayer.Config{
+		Table: func() *router.Table { return table }, Dialect: dialect{}, Log: slog.New(slog.NewTextHandler(&lines, nil)),
+		Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
+			a := answer("odd")
+			a.Status = 600
+			return a, nil
+		}),
+	})
+	require.Panics(t, func() {
+		r.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://a.example/x/1", nil))
+	})
+	require.Contains(t, lines.String(), recorder.EventAnswerInvalid.String())
+}
+
 func TestARequestIsRefusedForWantOfMemory(t *testing.T) {
 	r := relayer.New(relayer.Config{Dialect: dialect{}, Log: slog.New(slog.DiscardHandler)})
 	recorder := httptest.NewRecorder()
