chore: plain names: invalid answer, no final status, RefuseFull; a delay without a hidden unit

Tests are renamed, their checks are as they were. The delay of pipeliner's own refusal is a duration now, and stays apart from that of relayer: hoster sets RefuseFull, and pipeliner does not import relayer.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -70,7 +70,7 @@
 	OnReport func(target Target, report Report)
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
-	// Log gets the answers that are none. The default discards them.
+	// Log gets the invalid answers. The default discards them.
 	Log *slog.Logger
 }
 
--- a/dispatcher/invalid_test.go
+++ b/dispatcher/invalid_test.go
@@ -14,9 +14,9 @@
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
-// Guards against a status that is none and is taken for an answer, by requests or probes, and
+// Guards against an answer with no final status that is taken for one, by requests or probes, and
 // against a connection that stays in use after it.
-func TestAnAnswerWithoutAStatusIsNone(t *testing.T) {
+func TestAnAnswerWithoutAFinalStatusIsInvalid(t *testing.T) {
 	server := startDoublingServer(t, ownAnswer)
 	var log strings.Builder
 	d := dispatcher.New(dispatcher.Config{
--- a/forwarder/invalid_test.go
+++ b/forwarder/invalid_test.go
@@ -14,9 +14,9 @@
 	"github.com/pollencrank/pollencrank/router"
 )
 
-// Guards against an order that is answered by, or repeated after, a status that is none. What
+// Guards against an order that is answered by, or repeated after, an answer with no final status. What
 // may be repeated goes to another server, and the server counts as failing.
-func TestAStatusThatIsNoneLeavesTheOutcomeOpen(t *testing.T) {
+func TestAnInvalidAnswerLeavesTheOutcomeOpen(t *testing.T) {
 	for name, kind := range map[string]router.Kind{"lookup": router.Idempotent, "order": router.NonIdempotent} {
 		t.Run(name, func(t *testing.T) {
 			answer := func(conn net.Conn, _ int, id string) {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -318,7 +318,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		MaxHeldBytes:      h.held.bounds.perConnection,
 		MaxRequestBytes:   h.held.bounds.requestHeaders,
-		Full:              http.HandlerFunc(h.relayer.RefuseFull),
+		RefuseFull:        http.HandlerFunc(h.relayer.RefuseFull),
 		ConnContext:       h.held.connContext,
 		Log:               h.config.Log,
 	})
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if !pollencrank.IsFinalStatus(status) {
-		e.conn.server.config.Log.Error("a handler wrote a status that is none", recorder.EventAnswerInvalid.Attr(), slog.Int("status", status))
+		e.conn.server.config.Log.Error("a handler wrote no final status", recorder.EventAnswerInvalid.Attr(), slog.Int("status", status))
 		panic(http.ErrAbortHandler)
 	}
 	e.isHeaderSent = true
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -422,7 +422,7 @@
 }
 
 // Guards against a status that is left out and becomes 200 with the first byte of the body.
-func TestAStatusThatIsNoneIsNotAnswered(t *testing.T) {
+func TestNoFinalStatusIsNotAnswered(t *testing.T) {
 	for _, status := range []int{0, 99, 101, 600} {
 		c := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(status)
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -22,6 +22,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +42,8 @@
 	// for its connection: longer ones are passed on as they arrive.
 	maxCountedBytes = 1 << 20
 	// fullRetryDelay is the time after which a caller may retry a request for whose header
-	// no memory was left, in seconds.
-	fullRetryDelay = "1"
+	// no memory was left.
+	fullRetryDelay = time.Second
 	// shutdownPollInterval is how often Shutdown checks whether all connections
 	// have ended.
 	shutdownPollInterval = 10 * time.Millisecond
@@ -77,11 +78,11 @@
 	// answers that wait for their turn: no further request is begun while they exceed it.
 	MaxHeldBytes int64
 	// MaxRequestBytes bounds the headers of the running requests of all connections. Further
-	// requests are passed to Full. Zero sets no bound.
+	// requests are passed to RefuseFull. Zero sets no bound.
 	MaxRequestBytes int64
-	// Full refuses requests for whose header no memory is left. The default answers with
+	// RefuseFull refuses requests for whose header no memory is left. The default answers with
 	// status 503.
-	Full http.Handler
+	RefuseFull http.Handler
 	// ConnContext, if set, returns the context of a connection, from which those of its
 	// requests are derived.
 	ConnContext func(ctx context.Context) context.Context
@@ -121,8 +122,8 @@
 	if config.MaxHeldBytes <= 0 {
 		config.MaxHeldBytes = defaultMaxHeldBytes
 	}
-	if config.Full == nil {
-		config.Full = http.HandlerFunc(refuseFull)
+	if config.RefuseFull == nil {
+		config.RefuseFull = http.HandlerFunc(refuseFull)
 	}
 	if config.ConnContext == nil {
 		config.ConnContext = func(ctx context.Context) context.Context { return ctx }
@@ -138,7 +139,7 @@
 
 // refuseFull refuses a request.
 func refuseFull(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Retry-After", fullRetryDelay)
+	w.Header().Set("Retry-After", strconv.Itoa(int(fullRetryDelay.Seconds())))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -150,7 +151,7 @@
 func (s *Server) handlerOf(headerBytes int64) http.Handler {
 	held := s.requestBytes.Add(headerBytes)
 	if limit := s.config.MaxRequestBytes; limit > 0 && held > limit {
-		return s.config.Full
+		return s.config.RefuseFull
 	}
 	return s.config.Handler
 }
--- a/receiver/invalid_test.go
+++ b/receiver/invalid_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a status that net/http takes for interim and follows by a 200 of its own.
-func TestAStatusThatIsNoneIsNotAnswered(t *testing.T) {
+func TestNoFinalStatusIsNotAnswered(t *testing.T) {
 	for _, status := range []int{0, 99, 101, 600} {
 		address := start(t, func(context.Context, *pollencrank.Request) (*pollencrank.Answer, error) {
 			answer, err := respond("done")
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -158,7 +158,7 @@
 		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
 		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
 		{EventCallerUnread, slog.LevelInfo, "A caller took nothing of its answer for a while; its connection was ended."},
-		{EventAnswerInvalid, slog.LevelWarn, "A backend server sent an answer that is none in HTTP; whether the request has run is not known."},
+		{EventAnswerInvalid, slog.LevelWarn, "A backend server sent an invalid answer; whether the request has run is not known."},
 	}
 }
 
--- a/relayer/invalid_test.go
+++ b/relayer/invalid_test.go
@@ -80,9 +80,9 @@
 	return response.StatusCode, string(body), err
 }
 
-// Guards against an answer that is none and becomes a success: a server in trouble sent status
+// Guards against an invalid answer that becomes a success: a server in trouble sent status
 // 000, and the caller got 200.
-func TestAStatusThatIsNoneIsNoSuccess(t *testing.T) {
+func TestAnAnswerWithoutAFinalStatusIsNoSuccess(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
 		t.Run(status, func(t *testing.T) {
 			address := serveRaw(t, func(id string) string { return rawAnswer(status+" Odd", id, "Content-Length: 4\r\n\r\ndone") })
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -134,7 +134,7 @@
 // namedKinds returns the kinds that are injected only if they are named: with them among the
 // others, each seed would draw other faults than it has drawn before.
 func (s *soak) namedKinds() []faultKind {
-	return []faultKind{{"answersNone", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})}}
+	return []faultKind{{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})}}
 }
 
 // Shares of runs in which a kind of fault occurs. Runs with few kinds reveal failures
