fix: a refused request of another instance takes no room from others

Cause: a request of another instance counted as served before it was admitted, so that requests that were about to be refused let others be refused while there was room.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -173,7 +173,9 @@
 	r.awaitReady(incoming.Context(), headers)
 	call, err := r.admit(incoming, headers, hop, started)
 	if err == nil && hop != nil {
-		err = r.admitRerouted(call, hop, started)
+		if err = r.admitRerouted(call, hop, started); err == nil {
+			defer r.endRerouted()
+		}
 	}
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
--- a/relayer/rerouted.go
+++ b/relayer/rerouted.go
@@ -30,22 +30,29 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r.rerouted.Add(1)
-	defer r.rerouted.Add(-1)
 	r.serve(w, incoming, &hop)
 }
 
-// admitRerouted refuses a request of another instance if too many of them are served
-// already.
+// admitRerouted counts a request of another instance as served until endRerouted, or refuses
+// it if too many of them are served already. One that is refused never counts: others would
+// be refused for it though there is room.
 func (r *Relayer) admitRerouted(call *forwarder.Call, hop *rerouter.Hop, now time.Time) error {
 	call.Hop = hop
 	parts := reroutedParts - min(call.Priority(), reroutedParts-1)
-	if r.rerouted.Load() > int64(maxRerouted*parts/reroutedParts) {
-		return temporaryRefusal(pollencrank.ReasonReroutedFull, now, "too many requests of other instances")
+	limit := int64(maxRerouted * parts / reroutedParts)
+	for {
+		served := r.rerouted.Load()
+		if served >= limit {
+			return temporaryRefusal(pollencrank.ReasonReroutedFull, now, "too many requests of other instances")
+		}
+		if r.rerouted.CompareAndSwap(served, served+1) {
+			return nil
+		}
 	}
-	return nil
 }
 
+func (r *Relayer) endRerouted() { r.rerouted.Add(-1) }
+
 // reroutedWriter writes the answer to another instance.
 type reroutedWriter struct{ http.ResponseWriter }
 
