--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -69,6 +70,8 @@
 	OnReport func(target Target, report Report)
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
+	// Log gets the invalid answers. The default discards them.
+	Log *slog.Logger
 }
 
 // Target is the backend server that a request is sent to.
@@ -86,10 +89,22 @@
 
 	// transports is copied on write under mu, so that requests read it without a
 	// lock.
-	transports atomic.Pointer[map[Target]*http.Transport]
+	transports atomic.Pointer[map[Target]*transports]
 	mu         sync.Mutex
 }
 
+// transports are the transports to one server. Probes have a connection of their own: answers
+// whose callers read slowly may occupy all others.
+type transports struct {
+	requests, probes *http.Transport
+	invalid          lineLimit
+}
+
+func (t *transports) closeIdleConnections() {
+	t.requests.CloseIdleConnections()
+	t.probes.CloseIdleConnections()
+}
+
 // New returns a Dispatcher.
 func New(config Config) *Dispatcher {
 	if config.DialContext == nil {
@@ -98,18 +113,21 @@
 	if config.Dialect == nil {
 		config.Dialect = defaultDialect{}
 	}
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
 	if config.IdleTimeout <= 0 {
 		config.IdleTimeout = idleTimeout
 	}
 	d := &Dispatcher{config: config}
-	d.transports.Store(&map[Target]*http.Transport{})
+	d.transports.Store(&map[Target]*transports{})
 	return d
 }
 
 // Close closes the idle connections to every server.
 func (d *Dispatcher) Close() {
 	for _, t := range *d.transports.Load() {
-		t.CloseIdleConnections()
+		t.closeIdleConnections()
 	}
 }
 
@@ -122,13 +140,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	next := map[Target]*http.Transport{}
+	next := map[Target]*transports{}
 	for target, transport := range *d.transports.Load() {
 		if kept[target] {
 			next[target] = transport
 			continue
 		}
-		transport.CloseIdleConnections()
+		transport.closeIdleConnections()
 	}
 	d.transports.Store(&next)
 }
@@ -145,7 +163,7 @@
 	d.Keep(targets)
 }
 
-func (d *Dispatcher) transport(target Target) *http.Transport {
+func (d *Dispatcher) transport(target Target) *transports {
 	target = connectionKey(target)
 	if t := (*d.transports.Load())[target]; t != nil {
 		return t
@@ -162,27 +180,38 @@
 	return target
 }
 
-func (d *Dispatcher) addTransport(target Target) *http.Transport {
+func (d *Dispatcher) addTransport(target Target) *transports {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := *d.transports.Load()
 	if t := current[target]; t != nil {
 		return t
 	}
-	t := &http.Transport{
+	// One of the connections that the server accepts is that of probes.
+	requestConnections := max(1, target.MaxConnections-1)
+	t := &transports{
+		requests: d.newTransport(requestConnections, requestConnections),
+		probes:   d.newTransport(0, 1),
+	}
+	next := maps.Clone(current)
+	next[target] = t
+	d.transports.Store(&next)
+	return t
+}
+
+// newTransport returns a transport with at most maxConnections to a server, or any number if
+// that is zero, of which maxIdle stay open.
+func (d *Dispatcher) newTransport(maxConnections, maxIdle int) *http.Transport {
+	return &http.Transport{
 		DialContext:         d.dialCounted,
-		MaxConnsPerHost:     target.MaxConnections,
-		MaxIdleConnsPerHost: target.MaxConnections,
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     d.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	next := maps.Clone(current)
-	next[target] = t
-	d.transports.Store(&next)
-	return t
 }
 
 func (d *Dispatcher) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
@@ -204,7 +233,7 @@
 		if err != nil {
 			return nil, pollencrank.NotRun(pollencrank.ReasonMalformed, "%v", err)
 		}
-		response, err := d.transport(target).RoundTrip(outgoing)
+		response, err := d.transport(target).requests.RoundTrip(outgoing)
 		if err == nil {
 			return d.receive(target, request, response, attempt)
 		}
@@ -235,6 +264,9 @@
 
 // receive returns the answer of a server, or the error that it stands for.
 func (d *Dispatcher) receive(target Target, request *pollencrank.Request, response *http.Response, attempt *attempt) (*pollencrank.Answer, error) {
+	if err := d.invalidAnswer(target, response, attempt); err != nil {
+		return nil, err
+	}
 	if !d.config.Dialect.IsAnswerTo(request, response.Header) {
 		// The answers that follow on the connection are out of step, too.
 		attempt.abandonConnection()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,6 +79,8 @@
 	Suspects  Suspects
 	// Rerouter, if set, sends requests through other instances.
 	Rerouter Rerouter
+	// AnswerStager buffers answers. The default is NewAnswerStager with default bounds.
+	AnswerStager *stager.Stager
 	// Suspended, if set, returns the total time for which the machine has been
 	// suspended.
 	Suspended func() time.Duration
@@ -93,10 +95,8 @@
 	serviceTimes  *selector.ServiceTimes
 	objectHistory *selector.ObjectHistory
 	placements    *placements
-	// answerStager buffers answers until they are known to be complete.
-	answerStager *stager.Stager
-	suspectRuns  suspectRuns
-	room         *room
+	suspectRuns   suspectRuns
+	room          *room
 	// checks counts the checks of servers that run in the background.
 	checks sync.WaitGroup
 }
@@ -106,6 +106,9 @@
 	if config.Suspended == nil {
 		config.Suspended = func() time.Duration { return 0 }
 	}
+	if config.AnswerStager == nil {
+		config.AnswerStager = NewAnswerStager(0, 0)
+	}
 	if config.Rerouter == nil {
 		config.Rerouter = noRerouter{}
 	}
@@ -116,7 +119,6 @@
 		placements:    &placements{config: config},
 		room:          newRoom(),
 		suspectRuns:   suspectRuns{byServer: map[*registrar.Backend]map[isolator.Fingerprint]int{}},
-		answerStager:  stager.New(stager.Config{PerBody: maxBufferedAnswerBytes, Total: maxBufferedTotalBytes}),
 	}
 }
 
@@ -142,6 +144,8 @@
 	// TokenUntil, if set, returns until when the request may be sent as BeforeSend has
 	// allowed.
 	TokenUntil func() time.Time
+	// Share, if set, bounds what is held for the caller.
+	Share *stager.Share
 	// Course is filled in by Forward.
 	Course Course
 
@@ -332,7 +336,7 @@
 		err = verifyAnswer(answer, request)
 	}
 	if err == nil {
-		err = f.bufferAnswer(ctx, answer, backend)
+		err = f.bufferAnswer(ctx, call, answer, backend)
 	}
 	backend.End(sent)
 	f.room.wake(backend, time.Now())
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -81,6 +81,8 @@
 	EventQuotaSpent            Event = 1941
 	EventQuotaFree             Event = 1942
 	EventQuotaLoanFailed       Event = 1943
+	EventCallerUnread          Event = 1951
+	EventAnswerInvalid         Event = 1952
 )
 
 // Description describes an event. It equals the event's row in docs/EVENTS.md.
@@ -157,6 +159,8 @@
 		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
 		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
 		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
+		{EventCallerUnread, slog.LevelInfo, "A caller took nothing of its answer for a while; its connection was ended."},
+		{EventAnswerInvalid, slog.LevelWarn, "A backend server sent an invalid answer; whether the request has run is not known."},
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/expirer"
 	"github.com/pollencrank/pollencrank/forwarder"
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/rerouter"
@@ -150,8 +151,12 @@
 }
 
 // RunsAlone reports whether no other request of its connection may be sent on beside a
-// request, because its route has lately had answers that are not held as a whole.
+// request, because its route has lately had answers that are not held as a whole, or its
+// connection has one now: if that breaks off, no other answer can follow.
 func (r *Relayer) RunsAlone(incoming *http.Request) bool {
+	if stager.ShareOf(incoming.Context()).IsStreaming() {
+		return true
+	}
 	table := r.config.Table()
 	if table == nil || !r.streamedRoutes.wasUsed.Load() {
 		return false
@@ -180,7 +185,9 @@
 	r.awaitReady(incoming.Context(), headers)
 	call, err := r.admit(incoming, headers, hop, started)
 	if err == nil && hop != nil {
-		err = r.admitRerouted(call, hop, started)
+		if err = r.admitRerouted(call, hop, started); err == nil {
+			defer r.endRerouted()
+		}
 	}
 	if err == nil {
 		err = r.checkQuota(call)
@@ -210,7 +217,11 @@
 		return
 	}
 	defer answer.Body.Close()
-	if !answer.IsWhole {
+	switch {
+	case answer.IsWhole:
+	case answer.IsHeldBack:
+		defer call.Share.BeginStream()()
+	default:
 		r.streamedRoutes.add(call.Route.Name, time.Now())
 	}
 	if body.isInUse() {
@@ -230,6 +241,13 @@
 	return r.config.Forwarder.Forward(ctx, call)
 }
 
+// RefuseFull refuses a request for which no memory is left, before its body is read.
+func (r *Relayer) RefuseFull(w http.ResponseWriter, incoming *http.Request) {
+	err := pollencrank.NotRun(pollencrank.ReasonBodiesFull, "no memory is left for the request")
+	err.RetryAt = time.Now().Add(bodiesFullRetryDelay)
+	r.writeError(w, nil, r.config.Dialect.ReadCaller(incoming.Header), err, time.Now())
+}
+
 // awaitReady waits until an instance that has just started can serve requests, for at
 // most maxReadyWait and half of the caller's timeout.
 func (r *Relayer) awaitReady(ctx context.Context, headers CallerHeaders) {
@@ -291,6 +309,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	call := &forwarder.Call{
+		Share:     stager.ShareOf(incoming.Context()),
 		Table:     table,
 		Route:     route,
 		Tenant:    tenant,
@@ -321,6 +340,12 @@
 
 // writeAnswer writes a server's answer to the caller.
 func (r *Relayer) writeAnswer(w http.ResponseWriter, answer *pollencrank.Answer) {
+	if !pollencrank.IsFinalStatus(answer.Status) {
+		// A writer would leave such a status out and send another one.
+		r.config.Log.Error("an answer has no final status", recorder.EventAnswerInvalid.Attr(),
+			slog.String("server", answer.Server), slog.Int("status", answer.Status))
+		panic(http.ErrAbortHandler)
+	}
 	header := w.Header()
 	for name, values := range pollencrank.EndToEnd(answer.Header) {
 		header[name] = values
@@ -330,6 +355,11 @@
 	}
 	w.WriteHeader(answer.Status)
 	if _, err := io.Copy(w, answer.Body); err != nil {
+		var unread *expirer.UnreadError
+		if errors.As(err, &unread) {
+			// Logged where the connection was ended; the server's answer is sound.
+			panic(http.ErrAbortHandler)
+		}
 		r.config.Log.Warn("copying the answer to the caller failed", recorder.EventAnswerTruncated.Attr(),
 			slog.String("request", answer.RequestID), slog.String("server", answer.Server), slog.Any("error", err))
 		// Aborting the handler closes the connection, so that the caller detects an
