fix: probes get a connection of their own in hosted fleets only; what nobody reads goes out of registrar

Cause: one connection of each server was kept for probes in the unhosted product too, where an operator may set as many connections as slots; probes had any number of connections. Slots, pace and regional means were kept on the path of every answer, with a shared lock, and read by nobody.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -70,6 +70,9 @@
 	OnReport func(target Target, report Report)
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
+	// HasProbeConnection makes probes use one of the connections that a server accepts for
+	// themselves: answers whose callers read slowly may occupy all others.
+	HasProbeConnection bool
 	// Log gets the invalid answers. The default discards them.
 	Log *slog.Logger
 }
@@ -93,8 +96,7 @@
 	mu         sync.Mutex
 }
 
-// transports are the transports to one server. Probes have a connection of their own: answers
-// whose callers read slowly may occupy all others.
+// transports are the transports to one server.
 type transports struct {
 	requests, probes *http.Transport
 	invalid          lineLimit
@@ -187,25 +189,29 @@
 	if t := current[target]; t != nil {
 		return t
 	}
-	// One of the connections that the server accepts is that of probes.
-	requestConnections := max(1, target.MaxConnections-1)
-	t := &transports{
-		requests: d.newTransport(requestConnections, requestConnections),
-		probes:   d.newTransport(0, 1),
-	}
+	t := d.newTransports(target.MaxConnections)
 	next := maps.Clone(current)
 	next[target] = t
 	d.transports.Store(&next)
 	return t
 }
 
-// newTransport returns a transport with at most maxConnections to a server, or any number if
-// that is zero, of which maxIdle stay open.
-func (d *Dispatcher) newTransport(maxConnections, maxIdle int) *http.Transport {
+// newTransports returns the transports to a server that accepts maxConnections. With one
+// connection only, probes still get one of their own.
+func (d *Dispatcher) newTransports(maxConnections int) *transports {
+	if d.config.HasProbeConnection {
+		return &transports{requests: d.newTransport(max(1, maxConnections-1)), probes: d.newTransport(1)}
+	}
+	shared := d.newTransport(maxConnections)
+	return &transports{requests: shared, probes: shared}
+}
+
+// newTransport returns a transport with at most maxConnections to a server.
+func (d *Dispatcher) newTransport(maxConnections int) *http.Transport {
 	return &http.Transport{
 		DialContext:         d.dialCounted,
 		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxIdle,
+		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     d.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -36,7 +36,7 @@
 			return decision{}, refusal(pollencrank.ReasonNoServer, serviceTime, now, "no server of %s may get the request", call.service.Name)
 		}
 		backend := candidates.backends[choice.Index]
-		if f.holdsBack(call, backend, now) {
+		if f.isColdLimited(call, backend, now) {
 			skipped = append(skipped, backend)
 			continue
 		}
--- a/forwarder/return.go
+++ b/forwarder/return.go
@@ -12,11 +12,11 @@
 // returnProbeTimeout bounds the probe that checks whether an unreachable server is back.
 const returnProbeTimeout = 800 * time.Millisecond
 
-// holdsBack reports whether a server gets no request of this instance now, because it is
+// isColdLimited reports whether a server gets no request of this instance now, because it is
 // cold and others of the fleet use up what it may get. A server that was unreachable may
 // have started again unheard of, so it counts as cold until it has answered: a request of
 // each instance that tries it would be too many. The instances that may send none probe it.
-func (f *Forwarder) holdsBack(call *Call, backend *registrar.Backend, now time.Time) bool {
+func (f *Forwarder) isColdLimited(call *Call, backend *registrar.Backend, now time.Time) bool {
 	mayReturnCold := backend.IsSuspended() && call.service.ColdRate > 0
 	if !mayReturnCold && !backend.IsCold(now) {
 		return false
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -237,11 +237,12 @@
 
 func (h *Hoster) newForwarder() *forwarder.Forwarder {
 	h.sender = dispatcher.New(dispatcher.Config{
-		DialContext: h.dial,
-		Dialect:     h.config.Dialect,
-		OnReport:    h.report,
-		IdleTimeout: serverIdleTimeout,
-		Log:         h.config.Log,
+		DialContext:        h.dial,
+		Dialect:            h.config.Dialect,
+		OnReport:           h.report,
+		IdleTimeout:        serverIdleTimeout,
+		HasProbeConnection: true,
+		Log:                h.config.Log,
 	})
 	regions := map[string]bool{}
 	for _, region := range h.config.RegionOf {
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -108,9 +108,7 @@
 		return
 	}
 	if report.HasLoad {
-		h.registrar.RecordReport(b, registrar.LoadReport{
-			Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Pace: report.Pace,
-		}, now)
+		h.registrar.RecordReport(b, registrar.LoadReport{Running: report.Running, Waiting: report.Waiting, Pace: report.Pace}, now)
 	}
 	if report.IsLoadMalformed {
 		metrics.GetOrCreateCounter(`pollencrank_malformed_loads_total`).Inc()
--- a/registrar/backend.go
+++ b/registrar/backend.go
@@ -54,8 +54,6 @@
 	// era is the era of the store in which the entry was read. The Registrar's lock guards
 	// it.
 	era uint64
-	// means are those of the service's servers in the server's region.
-	means *regionMeans
 
 	mu sync.Mutex
 	// inFlight holds this instance's unanswered requests to the server.
@@ -64,11 +62,6 @@
 	// server last reported its total load.
 	othersLoad     float64
 	loadReportedAt time.Time
-	// toldPace and toldSlots are what the server told at paceToldAt; zero says that it has
-	// told none.
-	toldPace   float64
-	toldSlots  int
-	paceToldAt time.Time
 
 	slowness     float64
 	failureShare float64
@@ -95,8 +88,8 @@
 	expected time.Duration
 }
 
-func newBackend(s Server, means *regionMeans) *Backend {
-	b := &Backend{slowness: 1, inFlight: map[*InFlight]struct{}{}, means: means}
+func newBackend(s Server) *Backend {
+	b := &Backend{slowness: 1, inFlight: map[*InFlight]struct{}{}}
 	b.server.Store(&s)
 	return b
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -68,7 +68,6 @@
 	mu        sync.Mutex
 	backends  map[string]*Backend
 	evacuated map[string]bool
-	means     map[serviceRegion]*regionMeans
 	lapses
 	departures
 }
@@ -91,7 +90,6 @@
 		config:     config,
 		backends:   map[string]*Backend{},
 		evacuated:  map[string]bool{},
-		means:      map[serviceRegion]*regionMeans{},
 		lapses:     lapses{missing: map[string]bool{}},
 		departures: departures{byID: map[string]departure{}},
 	}
@@ -182,7 +180,7 @@
 		known.server.Store(&s)
 		return
 	}
-	r.backends[s.ID] = newBackend(s, r.meansOf(s))
+	r.backends[s.ID] = newBackend(s)
 	r.config.Log.Info("backend server added", recorder.EventServerJoined.Attr(),
 		slog.String("server", s.ID), slog.String("service", s.Service), slog.String("failureDomain", s.FailureDomain),
 		slog.String("address", s.Address), slog.Int64("incarnation", s.Incarnation),
