chore: relayer: short functions; the check of a final status stands once

serve and admit did three jobs each: admit, prepare, forward and deliver are functions of their own, and what refuses a request is in refusal.go. The same check of a final status stood in receiver and relayer; its line now names the request. The comment on the quota before the body was stale.

--- a/receiver/request.go
+++ b/receiver/request.go
@@ -270,12 +270,7 @@
 	if answer.ContentLength >= 0 && header.Get("Content-Length") == "" && request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
-	if !pollencrank.IsFinalStatus(answer.Status) {
-		// A writer would leave such a status out and send another one.
-		r.config.Log.Error("an answer has no final status", recorder.EventAnswerInvalid.Attr(),
-			slog.String("server", answer.Server), slog.Int("status", answer.Status))
-		panic(http.ErrAbortHandler)
-	}
+	pollencrank.AbortUnlessFinal(r.config.Log, recorder.EventAnswerInvalid.Attr(), request, answer)
 	w.WriteHeader(answer.Status)
 	if err := copyBody(w, answer); err != nil {
 		r.metrics.truncated.Inc()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -184,39 +184,51 @@
 	}
 	r.awaitReady(incoming.Context(), headers)
 	call, err := r.admit(incoming, headers, hop, started)
-	if err == nil && hop != nil {
-		if err = r.admitRerouted(call, hop, started); err == nil {
-			defer r.endRerouted()
-		}
-	}
-	if err == nil {
-		err = r.checkQuota(call)
-	}
 	if err != nil {
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	// The quota of call.Tenant is asked for here: the request is admitted, and no server has
-	// it. If hop is set, the other instance has asked.
-	body, err := r.stageBody(w, incoming, call)
+	if hop != nil {
+		defer r.endRerouted()
+	}
+	body, err := r.prepare(w, incoming, call, headers.Key)
 	defer body.release()
+	var answer *pollencrank.Answer
 	if err == nil {
-		err = r.confirmTenant(incoming, call, headers.Key)
+		ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
+		defer cancel()
+		answer, err = r.forward(ctx, call)
 	}
 	if err != nil {
 		body.takeBack()
 		r.writeError(w, call, headers, err, started)
 		return
 	}
-	ctx, cancel := context.WithDeadline(incoming.Context(), call.Request.Deadline)
-	defer cancel()
-	answer, err := r.forward(ctx, call)
+	defer answer.Body.Close()
+	r.deliver(w, call, body, answer, started)
+}
+
+// prepare does what must be done before a server is chosen: it stages the body, and then
+// identifies the caller again.
+func (r *Relayer) prepare(w http.ResponseWriter, incoming *http.Request, call *forwarder.Call, key string) (requestBody, error) {
+	body, err := r.stageBody(w, incoming, call)
 	if err != nil {
-		body.takeBack()
-		r.writeError(w, call, headers, err, started)
-		return
+		return body, err
 	}
-	defer answer.Body.Close()
+	return body, r.confirmTenant(incoming, call, key)
+}
+
+// forward forwards a call within the quota of its tenant. It takes the token only after the
+// body has arrived, so that the token is still valid when the request is sent.
+func (r *Relayer) forward(ctx context.Context, call *forwarder.Call) (*pollencrank.Answer, error) {
+	if err := r.takeQuota(ctx, call); err != nil {
+		return nil, err
+	}
+	return r.config.Forwarder.Forward(ctx, call)
+}
+
+// deliver writes a server's answer to the caller and records it.
+func (r *Relayer) deliver(w http.ResponseWriter, call *forwarder.Call, body requestBody, answer *pollencrank.Answer, started time.Time) {
 	switch {
 	case answer.IsWhole:
 	case answer.IsHeldBack:
@@ -229,18 +241,10 @@
 		// still being sent to the server.
 		w.Header().Set("Connection", "close")
 	}
-	r.writeAnswer(w, answer)
+	r.writeAnswer(w, call, answer)
 	r.recordAnswer(call, answer, started)
 }
 
-// forward forwards a call within the quota of its tenant.
-func (r *Relayer) forward(ctx context.Context, call *forwarder.Call) (*pollencrank.Answer, error) {
-	if err := r.takeQuota(ctx, call); err != nil {
-		return nil, err
-	}
-	return r.config.Forwarder.Forward(ctx, call)
-}
-
 // RefuseFull refuses a request for which no memory is left, before its body is read.
 func (r *Relayer) RefuseFull(w http.ResponseWriter, incoming *http.Request) {
 	err := pollencrank.NotRun(pollencrank.ReasonBodiesFull, "no memory is left for the request")
@@ -272,9 +276,29 @@
 	}
 }
 
-// admit finds the route of a request and returns the call to forward, or the reason why
-// the request is refused. hop is set for the request of another instance.
+// admit returns the call to forward, or the reason why the request is refused, with the call
+// if its route is known. hop is set for the request of another instance, which counts until
+// endRerouted once it is admitted.
 func (r *Relayer) admit(incoming *http.Request, headers CallerHeaders, hop *rerouter.Hop, now time.Time) (*forwarder.Call, error) {
+	table, err := r.tableFor(hop, now)
+	if err != nil {
+		return nil, err
+	}
+	route, tenant, err := match(table, incoming, headers.Key, hop, now)
+	if err != nil {
+		return nil, err
+	}
+	call := &forwarder.Call{Table: table, Route: route, Tenant: tenant, Hop: hop, ArrivedAt: now}
+	r.fillCall(call, incoming, headers)
+	if hop != nil {
+		// The other instance has asked for the quota.
+		return call, r.admitRerouted(call, now)
+	}
+	return call, r.checkQuota(call)
+}
+
+// tableFor returns the table by which a request is served.
+func (r *Relayer) tableFor(hop *rerouter.Hop, now time.Time) (*router.Table, error) {
 	table := r.config.Table()
 	if table == nil {
 		return nil, temporaryRefusal(pollencrank.ReasonNotReady, now, "no configuration yet")
@@ -285,22 +309,49 @@
 	if hop != nil && table.Version < hop.Version {
 		return nil, temporaryRefusal(pollencrank.ReasonNotReady, now, "version %d is not in force here yet", hop.Version)
 	}
+	return table, nil
+}
+
+// match returns the route and the tenant of a request that a table allows.
+func match(table *router.Table, incoming *http.Request, key string, hop *rerouter.Hop, now time.Time) (*router.Route, *router.Tenant, error) {
 	route := table.Match(incoming.Host, incoming.URL.Path)
 	if route == nil {
-		return nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
+		return nil, nil, pollencrank.NotRun(pollencrank.ReasonNoRoute, "no route for %s %s", incoming.Host, incoming.URL.Path)
 	}
-	tenant, err := identify(table, route, headers.Key, hop, now)
+	tenant, err := identify(table, route, key, hop, now)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if route.Fault != "" {
 		err := pollencrank.NotRun(pollencrank.ReasonRouteUnreadable, "route %s: %s", route.Name, route.Fault)
 		err.RetryAt = now.Add(routeFaultRetryDelay)
-		return nil, err
+		return nil, nil, err
 	}
 	if limit := table.Limits.MaxBodyBytes; limit > 0 && incoming.ContentLength > limit {
-		return nil, tooLargeRefusal(limit)
+		return nil, nil, tooLargeRefusal(limit)
+	}
+	return route, tenant, nil
+}
+
+// fillCall sets what a call has from its request.
+func (r *Relayer) fillCall(call *forwarder.Call, incoming *http.Request, headers CallerHeaders) {
+	call.Share = stager.ShareOf(incoming.Context())
+	call.ObjectKey = headers.ObjectKey
+	call.Request = &pollencrank.Request{
+		ID:            headers.RequestID,
+		Deadline:      call.ArrivedAt.Add(timeoutOf(call.Route, headers)),
+		Idempotent:    call.Route.Kind.MayRepeat(),
+		Generation:    pollencrank.Generation(call.Table.Version),
+		Method:        incoming.Method,
+		Host:          incoming.Host,
+		URI:           incoming.RequestURI,
+		Header:        r.headerFor(call.Tenant, call.Table, incoming.Header),
+		ContentLength: incoming.ContentLength,
 	}
+}
+
+// timeoutOf returns the timeout of a request: the caller's, bounded by the route's.
+func timeoutOf(route *router.Route, headers CallerHeaders) time.Duration {
 	timeout := headers.Timeout
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
@@ -308,44 +359,12 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	call := &forwarder.Call{
-		Share:     stager.ShareOf(incoming.Context()),
-		Table:     table,
-		Route:     route,
-		Tenant:    tenant,
-		ObjectKey: headers.ObjectKey,
-		ArrivedAt: now,
-		Request: &pollencrank.Request{
-			ID:            headers.RequestID,
-			Deadline:      now.Add(timeout),
-			Idempotent:    route.Kind.MayRepeat(),
-			Generation:    pollencrank.Generation(table.Version),
-			Method:        incoming.Method,
-			Host:          incoming.Host,
-			URI:           incoming.RequestURI,
-			Header:        r.headerFor(tenant, table, incoming.Header),
-			ContentLength: incoming.ContentLength,
-		},
-	}
-	return call, nil
-}
-
-// temporaryRefusal returns a NotRunError that asks the caller to retry after
-// defaultRetryDelay.
-func temporaryRefusal(reason pollencrank.Reason, now time.Time, format string, args ...any) error {
-	err := pollencrank.NotRun(reason, format, args...)
-	err.RetryAt = now.Add(defaultRetryDelay)
-	return err
+	return timeout
 }
 
 // writeAnswer writes a server's answer to the caller.
-func (r *Relayer) writeAnswer(w http.ResponseWriter, answer *pollencrank.Answer) {
-	if !pollencrank.IsFinalStatus(answer.Status) {
-		// A writer would leave such a status out and send another one.
-		r.config.Log.Error("an answer has no final status", recorder.EventAnswerInvalid.Attr(),
-			slog.String("server", answer.Server), slog.Int("status", answer.Status))
-		panic(http.ErrAbortHandler)
-	}
+func (r *Relayer) writeAnswer(w http.ResponseWriter, call *forwarder.Call, answer *pollencrank.Answer) {
+	pollencrank.AbortUnlessFinal(r.config.Log, recorder.EventAnswerInvalid.Attr(), call.Request, answer)
 	header := w.Header()
 	for name, values := range pollencrank.EndToEnd(answer.Header) {
 		header[name] = values
@@ -368,75 +387,6 @@
 	}
 }
 
-// writeError writes the error answer to a request that no server answered.
-func (r *Relayer) writeError(w http.ResponseWriter, call *forwarder.Call, headers CallerHeaders, err error, started time.Time) {
-	status, reason, retryAt := classifyError(err)
-	r.config.Dialect.SetRequestID(w.Header(), headers.RequestID)
-	if status == http.StatusServiceUnavailable && retryAt.IsZero() {
-		retryAt = time.Now().Add(defaultRetryDelay)
-	}
-	if !retryAt.IsZero() {
-		r.config.Dialect.SetRetryAfter(w.Header(), max(time.Until(retryAt), 0))
-	}
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	if rerouted, ok := w.(*reroutedWriter); ok {
-		rerouted.setOutcome(reason, pollencrank.IsNotRun(err))
-	}
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, string(reason)+"\n")
-	metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_refusals_total{reason=%q,status="%d"}`, reason, status)).Inc()
-	event := recorder.EventRequestRefused
-	if !pollencrank.IsNotRun(err) {
-		event = recorder.EventOutcomeUnknown
-	}
-	attributes := []any{
-		event.Attr(), slog.String("request", headers.RequestID), slog.Int("status", status), slog.Any("error", err),
-		slog.String("took", time.Since(started).Round(time.Microsecond).String()),
-	}
-	if call != nil {
-		attributes = append(attributes, slog.String("route", call.Route.Name), slog.Uint64("version", call.Table.Version))
-		if call.Tenant != nil {
-			attributes = append(attributes, slog.String("tenant", call.Tenant.Name))
-		}
-	}
-	r.config.Log.Info("the request was not answered by a server", attributes...)
-}
-
-// classifyError returns the status and the reason of an error and the time at which the
-// caller may retry, or the zero time.
-func classifyError(err error) (int, pollencrank.Reason, time.Time) {
-	var notRun *pollencrank.NotRunError
-	if errors.As(err, &notRun) {
-		return notRunStatus(notRun.Reason), notRun.Reason, notRun.RetryAt
-	}
-	var unknown *pollencrank.OutcomeUnknownError
-	if errors.As(err, &unknown) {
-		if unknown.Reason == pollencrank.ReasonDeadlinePassed {
-			return http.StatusGatewayTimeout, unknown.Reason, time.Time{}
-		}
-		return http.StatusBadGateway, unknown.Reason, time.Time{}
-	}
-	return http.StatusBadGateway, pollencrank.ReasonServerFailed, time.Time{}
-}
-
-func notRunStatus(reason pollencrank.Reason) int {
-	switch reason {
-	case pollencrank.ReasonNoRoute:
-		return http.StatusNotFound
-	case pollencrank.ReasonUnknownKey:
-		return http.StatusUnauthorized
-	case pollencrank.ReasonTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case pollencrank.ReasonMalformed, pollencrank.ReasonBodyBroken:
-		return http.StatusBadRequest
-	case pollencrank.ReasonQuotaSpent:
-		return http.StatusTooManyRequests
-	case pollencrank.ReasonBodyTimeout:
-		return http.StatusRequestTimeout
-	}
-	return http.StatusServiceUnavailable
-}
-
 // recordAnswer records the duration of an answered request and logs a sample of the
 // answers; those that callers take for a failure or a refusal are always logged.
 func (r *Relayer) recordAnswer(call *forwarder.Call, answer *pollencrank.Answer, started time.Time) {
--- a/relayer/rerouted.go
+++ b/relayer/rerouted.go
@@ -36,8 +36,7 @@
 // admitRerouted counts a request of another instance as served until endRerouted, or refuses
 // it if too many of them are served already. One that is refused never counts: others would
 // be refused for it though there is room.
-func (r *Relayer) admitRerouted(call *forwarder.Call, hop *rerouter.Hop, now time.Time) error {
-	call.Hop = hop
+func (r *Relayer) admitRerouted(call *forwarder.Call, now time.Time) error {
 	parts := reroutedParts - min(call.Priority(), reroutedParts-1)
 	limit := int64(maxRerouted * parts / reroutedParts)
 	for {
