chore: admitter: one meaning for each name, and a reason for each constant

"due" meant a struct, a wait and a standing: they are deadlineEntry, guaranteedWait and GoesFirst, and ranks lag behind. The usage shows New, Arrive, Start, Revoke and Queue.

Tests: the renamed field only.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -3,26 +3,38 @@
 //
 // What is turned away is what costs callers least. A request runs at once where there is
 // room. Where there is none, it joins a server's queue as long as its answer is expected
-// within its latency objective: a late answer is worth less, and takes a slot from one that
-// would be in time, unless few others meet a queue. The less urgent a request is, the shorter is the queue that it may join;
-// a kind that is served much less often than all, or less than a less urgent one, is due and
-// goes first. A tenant that has had its fair share gets only room that no other needs. What
-// does not run waits for a moment that costs nothing, and is then turned away with the time
-// at which there is likely to be room.
+// within its latency objective. A late answer takes a slot from one that would be in time.
+// Only where few requests meet a queue may it be late.
+//
+// The less urgent a request is, the shorter is the queue that it may join. A kind that is
+// served much less often than all, or a rank that is served less than a less urgent one, goes
+// first. A tenant that has had its fair share gets only room that no other needs. What does
+// not run waits for a moment that costs nothing, and is then turned away with the time at
+// which there is likely to be room.
 //
 // A request that comes back after a refusal is a new one: it neither gains nor loses a place.
 //
 // An Admitter knows neither servers nor a clock: every call states the time and what is
-// expected at the best server.
+// expected at the best server. The rule and what it promises are in
+// docs/design/too-little-room.md.
 //
 // # Usage
 //
+//	a := admitter.New(admitter.Config{Random: rand.Float64})
+//	queue := admitter.NewQueue[*Server](admitter.Bounds{PerPriority: 512, Bytes: 8 << 20})
+//	a.Arrive(&request, now)
 //	decision := a.Decide(&request, now)
 //	switch decision.Verdict {
 //	case admitter.Run:
-//		// Send the request.
+//		a.Start(&request, now)
+//		// Send the request; call a.Revoke if it certainly has not run.
 //	case admitter.Wait:
-//		// Queue the request until decision.At; offer it again when room appears.
+//		ticket := &admitter.Ticket{Request: &request, Woken: make(chan struct{}, 1)}
+//		if !queue.Add(ticket, a.Standing(&request, now), servers) {
+//			// Turn it away: as many wait as may.
+//		}
+//		// Wait until decision.At at most, then call queue.Remove and decide again. Whoever
+//		// hears that a server has room calls queue.Next and wakes what it returns.
 //	case admitter.Refuse:
 //		// Turn it away; its caller may come back at decision.At.
 //	}
@@ -202,14 +214,14 @@
 	if used.isOverShare() {
 		return CauseTenant, r.Wait
 	}
-	limit, due := r.maxWait(used.service.stretch(), now), r.objective()/dueDivisor
+	limit, guaranteedWait := r.maxWait(used.service.stretch(), now), r.objective()/guaranteedDivisor
 	isStarving := used.service.isStarving(used.kind)
 	switch {
-	case isStarving || used.isBehind():
-		limit = max(limit, due)
+	case isStarving || used.lagsBehind():
+		limit = max(limit, guaranteedWait)
 	case used.service.hasStarving:
-		due = min(due, used.service.starvingObjective/dueDivisor)
-		limit = min(limit, time.Duration(float64(due)*keptShortPart))
+		guaranteedWait = min(guaranteedWait, used.service.starvingObjective/guaranteedDivisor)
+		limit = min(limit, time.Duration(float64(guaranteedWait)*keptShortPart))
 	}
 	if r.Wait > limit {
 		return CauseObjective, r.Wait - limit
@@ -217,8 +229,8 @@
 	if !isStarving {
 		limit = used.shorten(limit)
 	}
-	if used.isBehind() && !used.isAhead() {
-		limit = max(limit, due)
+	if used.lagsBehind() && !used.isAhead() {
+		limit = max(limit, guaranteedWait)
 	}
 	if r.Wait > limit {
 		return CausePriority, r.Wait - limit
@@ -239,7 +251,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used := a.usagesOf(r, now)
-	return Standing{IsBehind: used.service.isStarving(used.kind) || used.isBehind(), IsOverShare: used.isOverShare()}
+	return Standing{GoesFirst: used.service.isStarving(used.kind) || used.lagsBehind(), IsOverShare: used.isOverShare()}
 }
 
 // ReturnAt returns when the caller of a refused request may come back: not before the
--- a/admitter/decide_test.go
+++ b/admitter/decide_test.go
@@ -147,7 +147,7 @@
 		a.Start(r[1], now)
 	}
 	require.True(t, a.Standing(r[1], now).IsOverShare)
-	require.True(t, a.Standing(r[0], now).IsBehind)
+	require.True(t, a.Standing(r[0], now).GoesFirst)
 	for range 30 {
 		a.Revoke(r[1], now)
 	}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -8,8 +8,9 @@
 	// workBits is the number of bits of an order that hold the work, in microseconds.
 	workBits = 40
 	maxWork  = 1<<workBits - 1
-	// maxCompared is the number of waiting requests that are compared with the one that is
-	// next by its order.
+	// maxCompared is the number of waiting requests that are compared, the one that is next by
+	// its order among them. They are the first of the heap's array: the upper levels of the
+	// heap, which need not be those that come next. Finding those would cost a search each time.
 	maxCompared = 8
 )
 
@@ -138,49 +139,49 @@
 	return t, false
 }
 
-// due is a request and the time until which it must have ended.
-type due struct {
+// deadlineEntry is a request and the time that is left until it must have ended.
+type deadlineEntry struct {
 	ticket     *Ticket
 	left, work time.Duration
 }
 
-// firstOfMost returns, of the requests that stand like the first one, the one that runs next
-// if as many as possible are to end in time, or before their deadlines if the first one is
-// late. It orders them by when they must have ended and leaves out the longest wherever they
+// firstOfMost returns, of the compared requests that stand like the first one, the one that
+// runs next if as many as possible are to end in time, or before their deadlines if the first
+// one is late. It orders them by when they must have ended and leaves out the longest wherever they
 // don't all fit, which is the algorithm of Moore and Hodgson.
 func (h *heap) firstOfMost(first *Ticket, now time.Time) *Ticket {
-	var buffer [maxCompared]due
-	dues := h.duesLike(first, now, buffer[:0])
-	if len(dues) == 1 {
+	var buffer [maxCompared]deadlineEntry
+	entries := h.entriesLike(first, now, buffer[:0])
+	if len(entries) == 1 {
 		return first
 	}
 	var total time.Duration
 	kept := 0
-	for _, d := range dues {
-		dues[kept] = d
+	for _, entry := range entries {
+		entries[kept] = entry
 		kept++
-		total += d.work
-		if total > d.left {
+		total += entry.work
+		if total > entry.left {
 			longest := 0
 			for i := range kept {
-				if dues[i].work >= dues[longest].work {
+				if entries[i].work >= entries[longest].work {
 					longest = i
 				}
 			}
-			total -= dues[longest].work
-			copy(dues[longest:kept], dues[longest+1:kept])
+			total -= entries[longest].work
+			copy(entries[longest:kept], entries[longest+1:kept])
 			kept--
 		}
 	}
 	if kept == 0 {
 		return first
 	}
-	return dues[0].ticket
+	return entries[0].ticket
 }
 
-// duesLike appends to dues the requests that stand like the first one, ordered by when they
-// must have ended.
-func (h *heap) duesLike(first *Ticket, now time.Time, dues []due) []due {
+// entriesLike appends to entries those of the compared requests that stand like the first
+// one, ordered by when they must have ended.
+func (h *heap) entriesLike(first *Ticket, now time.Time, entries []deadlineEntry) []deadlineEntry {
 	isLate := now.After(first.inTimeUntil)
 	for _, t := range h.tickets[:min(len(h.tickets), maxCompared)] {
 		if (t.order^first.order)&^lateBit>>overShift != 0 || now.After(t.inTimeUntil) != isLate {
@@ -190,16 +191,16 @@
 		if isLate {
 			until = t.lostAt
 		}
-		d := due{ticket: t, left: until.Sub(now) + t.Request.Work, work: t.Request.Work}
-		if d.left < d.work {
+		entry := deadlineEntry{ticket: t, left: until.Sub(now) + t.Request.Work, work: t.Request.Work}
+		if entry.left < entry.work {
 			continue
 		}
-		dues = append(dues, d)
-		for i := len(dues) - 1; i > 0 && dues[i].left < dues[i-1].left; i-- {
-			dues[i], dues[i-1] = dues[i-1], dues[i]
+		entries = append(entries, entry)
+		for i := len(entries) - 1; i > 0 && entries[i].left < entries[i-1].left; i-- {
+			entries[i], entries[i-1] = entries[i-1], entries[i]
 		}
 	}
-	return dues
+	return entries
 }
 
 // Forget drops a server at which no request waits.
@@ -211,28 +212,28 @@
 
 // Standing says how a request stands among the others.
 type Standing struct {
-	// IsBehind says that its kind is served less often than it is due.
-	IsBehind bool
+	// GoesFirst says that its kind or its rank is served too little beside the others.
+	GoesFirst bool
 	// IsOverShare says that its tenant has had its fair share.
 	IsOverShare bool
 }
 
 const (
-	behindShift = 63
-	rankShift   = 60
-	lateBit     = 1 << 59
-	overShift   = 58
-	overBit     = 1 << overShift
+	notFirstShift = 63
+	rankShift     = 60
+	lateBit       = 1 << 59
+	overShift     = 58
+	overBit       = 1 << overShift
 )
 
-// orderOf returns the order of a request: the lowest runs first. Kinds that are due go
-// first, then the more urgent, those that can be in time, those of tenants within their
-// share, and of these the least work.
+// orderOf returns the order of a request: the lowest runs first. What goes first by its
+// standing is before all else, then the more urgent, those that can be in time, those of
+// tenants within their share, and of these the least work.
 func orderOf(r *Request, standing Standing) uint64 {
 	order := min(uint64(max(r.Work, 0).Microseconds()), maxWork)
 	order |= uint64(rankOf(r.Priority)) << rankShift
-	if !standing.IsBehind {
-		order |= 1 << behindShift
+	if !standing.GoesFirst {
+		order |= 1 << notFirstShift
 	}
 	if standing.IsOverShare {
 		order |= overBit
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -160,7 +160,7 @@
 	over, usual, due := newTicket(1, usualWork, time.Second, time.Second), newTicket(1, usualWork, time.Second, time.Second), newTicket(3, 2*usualWork, time.Second, time.Second)
 	q.Add(over, admitter.Standing{IsOverShare: true}, []int{0})
 	q.Add(usual, admitter.Standing{}, []int{0})
-	q.Add(due, admitter.Standing{IsBehind: true}, []int{0})
+	q.Add(due, admitter.Standing{GoesFirst: true}, []int{0})
 	for _, want := range []*admitter.Ticket{due, usual, over} {
 		next, _ := q.Next(0, epoch)
 		require.Same(t, want, next)
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -10,36 +10,45 @@
 const (
 	// usageHalfLife is how fast what was offered and served is forgotten.
 	usageHalfLife = 4 * time.Second
-	// advanceInterval is the time within which nothing is forgotten.
+	// advanceInterval is the time for which forgetting is put off: it costs an exponential, and
+	// would change less than a thousandth of a count.
 	advanceInterval = 5 * time.Millisecond
 	// refreshInterval is the time between two computations of the tenants' fair share.
 	refreshInterval = 100 * time.Millisecond
 	// minOffered is the number of requests from which on the share of those that were
 	// served says something.
 	minOffered = 10
-	// keptShare is the part of the served share of all requests below which a kind is due. It
-	// is above the quarter that every kind is to have, because the effect comes late.
+	// keptShare is the part of the served share of all requests below which a kind starves. It
+	// is above the quarter that docs/design/too-little-room.md promises, because the effect comes
+	// late.
 	keptShare = 0.33
 	// maxInversion is by how much the served share of a less urgent rank may exceed that of
-	// a more urgent one before it is shortened. It is below the 5 in 100 that are to hold.
+	// a more urgent one before it is shortened. It is below the 5 in 100 that
+	// docs/design/too-little-room.md promises.
 	maxInversion = 0.02
 	// maxEarnedInversion is by how much the earned share of a less urgent rank may exceed that
-	// of a more urgent one, below the 15 in 100 that are to hold, and lateWorth the worth of a late answer, as a part of one in time.
+	// of a more urgent one. It is below the 15 in 100 that
+	// docs/design/too-little-room.md promises.
 	maxEarnedInversion = 0.08
-	lateWorth          = 0.2
+	// lateWorth is the worth of a late answer, as a part of one in time. It is above zero,
+	// because it is an answer, and low, so that a rank whose answers are late lags behind.
+	lateWorth = 0.2
 	// maxStretch is the multiple of the latency objective that an expected time may reach if
 	// no other request meets a queue.
 	maxStretch = 1.5
-	// dueDivisor divides a latency objective into the wait that a request may have that is
-	// due. While a kind starves, the others may have a part of it.
-	dueDivisor    = 2
+	// guaranteedDivisor divides a latency objective into the wait that a request may have in
+	// any case if its kind starves or its rank lags behind.
+	guaranteedDivisor = 2
+	// keptShortPart is the part of the guaranteed wait that the others may have while a kind
+	// starves. It is below one, so that a queue that keeps the others out lets that kind in.
 	keptShortPart = 0.75
 	// aheadDivisor divides the longest queue of a rank while a more urgent one is served less
-	// often.
+	// often: it gives way at once, but is not shut out, so that it does not starve in turn.
 	aheadDivisor = 4
 	// maxPriorities is the number of ranks that are told apart.
 	maxPriorities = 8
-	// shareSlack is the part by which a tenant may exceed its fair share.
+	// shareSlack is the part by which a tenant may exceed its fair share, so that one at
+	// its share is not turned away for a single request.
 	shareSlack = 0.1
 	// forgottenBelow is what was offered lately below which a kind or a tenant is forgotten.
 	forgottenBelow = 1e-4
@@ -197,11 +206,11 @@
 	return kind.offered >= minOffered && kind.servedShare() < keptShare*s.all.servedShare()
 }
 
-// isBehind reports whether the request's rank is served less often than a less urgent one.
-func (u usages) isBehind() bool {
+// lagsBehind reports whether the request's rank is served less often than a less urgent one.
+func (u usages) lagsBehind() bool {
 	own := &u.service.ranks[u.rank]
 	for i := range u.service.ranks[u.rank+1:] {
-		if own.isBehind(&u.service.ranks[u.rank+1+i]) {
+		if own.lagsBehind(&u.service.ranks[u.rank+1+i]) {
 			return true
 		}
 	}
@@ -212,15 +221,15 @@
 func (u usages) isAhead() bool {
 	own := &u.service.ranks[u.rank]
 	for i := range u.service.ranks[:u.rank] {
-		if u.service.ranks[i].isBehind(own) {
+		if u.service.ranks[i].lagsBehind(own) {
 			return true
 		}
 	}
 	return false
 }
 
-// isBehind reports whether a rank is served less often, or earns less, than a less urgent one.
-func (u *usage) isBehind(lessUrgent *usage) bool {
+// lagsBehind reports whether a rank is served less often, or earns less, than a less urgent one.
+func (u *usage) lagsBehind(lessUrgent *usage) bool {
 	if u.offered < minOffered || lessUrgent.offered < minOffered {
 		return false
 	}
