fix: an account of a quota is not deleted between its look-up and its use

Without a log, New panicked at the first loan that failed; it discards by default now. The tests of rationer pass.

--- a/rationer/account.go
+++ b/rationer/account.go
@@ -56,11 +56,11 @@
 	taken, borrowed, refused, unreachable, lent, renewed *metrics.Counter
 }
 
-func newAccount(name string, now time.Time) *account {
+func newAccount(name string) *account {
 	counter := func(result string) *metrics.Counter {
 		return metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_quota_requests_total{result=%q,tenant=%q}`, result, name))
 	}
-	return &account{name: name, usedAt: now, metrics: accountMetrics{
+	return &account{name: name, metrics: accountMetrics{
 		taken: counter("taken"), borrowed: counter("borrowed"), refused: counter("refused"),
 		unreachable: counter("unreachable"), renewed: counter("renewed"),
 		lent: metrics.GetOrCreateCounter(fmt.Sprintf(`pollencrank_quota_lent_total{tenant=%q}`, name)),
@@ -125,7 +125,6 @@
 
 // takeOwn takes a token of this instance's own part. The lock is held.
 func (a *account) takeOwn(part part, holding apportioner.Holding, now time.Time) bool {
-	a.usedAt = now
 	if !a.hasOwn(part, holding, now) {
 		return false
 	}
@@ -269,7 +268,14 @@
 	return next, isKnown
 }
 
-// isIdle reports whether the account has not been used for a while.
+// use records that the account is used. Rationer.mu is held.
+func (a *account) use(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.usedAt = now
+}
+
+// isIdle reports whether the account has not been used for a while. Rationer.mu is held.
 func (a *account) isIdle(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -81,7 +81,8 @@
 	Bounds Bounds
 	// Suspended, if set, returns the total time for which the machine has been suspended.
 	Suspended func() time.Duration
-	Log       *slog.Logger
+	// Log is the log. The default discards all.
+	Log *slog.Logger
 	// Now is the clock. The default is time.Now.
 	Now func() time.Time
 }
@@ -104,6 +105,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
 	if config.Suspended == nil {
 		config.Suspended = func() time.Duration { return 0 }
 	}
@@ -143,8 +147,9 @@
 	if tenant == nil || !isLimited(tenant.Quota) {
 		return Token{}, nil
 	}
-	a := r.accountOf(tenant.Name)
-	a.countDemand(r.config.Now())
+	began := r.config.Now()
+	a := r.accountOf(tenant.Name, began)
+	a.countDemand(began)
 	var tried [maxTries]string
 	for tries := 0; ; tries++ {
 		now, clock := r.read()
@@ -194,7 +199,7 @@
 		if err != nil {
 			return err
 		}
-		r.accountOf(tenant.Name).metrics.renewed.Inc()
+		r.accountOf(tenant.Name, r.config.Now()).metrics.renewed.Inc()
 		*token = next
 	}
 	return nil
@@ -220,7 +225,7 @@
 	}
 	now, clock := r.read()
 	holding := r.holding(tenant.Name, now)
-	a := r.accountOf(tenant.Name)
+	a := r.accountOf(tenant.Name, now)
 	a.mu.Lock()
 	part := r.ownPart(tenant, holding)
 	if a.hasOwn(part, holding, now) || a.stocked(clock) != nil || a.chooseHolder(holding, nil, r.config.Fleet.Self(), now) != nil {
@@ -245,12 +250,11 @@
 	if !holding.IsHolder || count <= 0 {
 		return Loan{}, false
 	}
-	a := r.accountOf(name)
+	a := r.accountOf(name, now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.bucket.fill(r.ownPart(tenant, holding), holding.From, now)
 	loan := a.bucket.lend(min(count, maxCount), now)
-	a.usedAt = now
 	a.metrics.lent.Add(loan.Granted)
 	return loan, true
 }
@@ -277,20 +281,32 @@
 	return now, now.Add(suspended)
 }
 
-// accountOf returns the account of a tenant.
-func (r *Rationer) accountOf(name string) *account {
-	r.mu.RLock()
-	a := r.accounts[name]
-	r.mu.RUnlock()
-	if a != nil {
+// accountOf returns the account of a tenant, which counts as used now: Sweep must not delete
+// it before the caller has locked it.
+func (r *Rationer) accountOf(name string, now time.Time) *account {
+	if a := r.useKnown(name, now); a != nil {
 		return a
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.accounts[name] == nil {
-		r.accounts[name] = newAccount(name, r.config.Now())
+	a := r.accounts[name]
+	if a == nil {
+		a = newAccount(name)
+		r.accounts[name] = a
+	}
+	a.use(now)
+	return a
+}
+
+// useKnown returns the account of a tenant if there is one, or nil.
+func (r *Rationer) useKnown(name string, now time.Time) *account {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	a := r.accounts[name]
+	if a != nil {
+		a.use(now)
 	}
-	return r.accounts[name]
+	return a
 }
 
 // Sweep forgets the tenants that have sent nothing for a while, and logs the end of
--- a/rationer/status.go
+++ b/rationer/status.go
@@ -47,7 +47,7 @@
 	for _, holder := range holding.Holders {
 		status.Holders = append(status.Holders, holder.ID)
 	}
-	a := r.accountOf(tenant.Name)
+	a := r.accountOf(tenant.Name, now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if holding.IsHolder {
