--- a/apportioner/cut_test.go
+++ b/apportioner/cut_test.go
@@ -31,7 +31,7 @@
 		for _, self := range members {
 			config := apportioner.MembershipConfig{Self: self, StartedAt: began}
 			if self.Region == "1" {
-				config.IsCutOff = func() bool { return isCutOff }
+				config.MayBeIsolated = func() bool { return isCutOff }
 			}
 			m := apportioner.NewMembership(config)
 			m.Set(members, began)
@@ -61,7 +61,7 @@
 			for _, bound := range []string{"tenant-1", "tenant-2", "tenant-3"} {
 				holders := 0
 				for _, m := range instances {
-					if m.Holding(bound, now).IsHolder {
+					if m.Division(bound, now).IsHolder {
 						holders++
 					}
 				}
@@ -90,7 +90,7 @@
 			m.Set(members[:1], now)
 		}
 		m.Sweep(now)
-		require.True(t, m.Holding("tenant-1", now).IsHolder, elapsed)
+		require.True(t, m.Division("tenant-1", now).IsHolder, elapsed)
 	}
 }
 
@@ -99,12 +99,12 @@
 func TestAMemberMayMoveToAnotherRegion(t *testing.T) {
 	members := regionMembers(9)
 	m := settled(members[0], members)
-	before := m.Holding("tenant-1", start).Holders
+	before := m.Division("tenant-1", start).Holders
 	for i := range members {
 		if members[i].ID == before[1].ID {
 			members[i].Region = before[0].Region
 		}
 	}
 	m.Set(members, start)
-	require.Equal(t, settled(members[0], members).Holding("tenant-1", start).Holders, m.Holding("tenant-1", start).Holders)
+	require.Equal(t, settled(members[0], members).Division("tenant-1", start).Holders, m.Division("tenant-1", start).Holders)
 }
--- a/apportioner/spread.go
+++ b/apportioner/division.go
@@ -9,67 +9,67 @@
 )
 
 const (
-	// maxSpread is the number of instances that share a bound for which Holding is asked.
+	// maxParts is the largest number of parts into which a bound is divided.
 	// It depends on no configuration, because instances may have different ones.
-	maxSpread = 3
-	// spreadLease is how long an instance holds a part without hearing from the store or
+	maxParts = 3
+	// partLease is how long an instance holds a part without hearing from the store or
 	// from another instance. It is shorter than contactLease, because a new holder waits for
 	// it.
-	spreadLease = 1250 * time.Millisecond
-	// takeOverWait is how long a new holder waits beyond the time at which its view of the
-	// members has settled: the earlier holder may have heard, for as long as news travels,
-	// only from instances that did not know either, and holds for spreadLease more.
-	takeOverWait = spreadLease
-	// storeLease is how long an instance that may be cut off together with others holds a part
+	partLease = 1250 * time.Millisecond
+	// takeOverWait is how long a new holder waits after its view of the members has settled:
+	// until then the earlier holder may have heard from instances that did not know of the
+	// change, and it holds for partLease after that.
+	takeOverWait = partLease
+	// storeLease is how long an instance that may be isolated together with others holds a part
 	// without evidence that the store answers. Its successor waits for longer.
 	storeLease = 4500 * time.Millisecond
 	// fewMembers is the number of members up to which evidence of the store alone is enough:
 	// when the only other one dies, nobody is left to answer.
 	fewMembers = 2
-	// spreadMemory is how long a bound is kept that nobody asks for.
-	spreadMemory = departureMemory
+	// divisionMemory is how long a bound is kept that nobody asks for.
+	divisionMemory = departureMemory
 )
 
-// Holding says who shares a bound of the whole fleet.
-type Holding struct {
+// Division says who shares a bound of the whole fleet.
+type Division struct {
 	// Holders are the instances that share the bound, of different regions where there
 	// are enough. It must not be changed.
 	Holders []Member
 	// Parts is the number of equal parts into which the bound is divided.
 	Parts int
-	// IsHolder says that this instance holds a part, From since when. It must count as if
-	// another instance had spent the part just before.
+	// IsHolder says that this instance holds a part, and From since when. The part
+	// counts as spent at From.
 	IsHolder bool
 	From     time.Time
 }
 
-// spread is a bound that a few instances of different regions share.
-type spread struct {
+// divisionState is a bound that a few instances of different regions share.
+type divisionState struct {
 	holders  []Member
 	isHolder bool
 	since    time.Time
 	askedAt  time.Time
 }
 
-// Holding returns who shares a bound. The holders are chosen by rendezvous hashing of the
+// Division returns who shares a bound. The holders are chosen by rendezvous hashing of the
 // name of the bound, the best of each region first.
 //
-// Of the instances that ever held the same part, each ended before the next one begins,
-// if news reaches every instance that is in touch within settleTime. The exception is an
-// instance that knows of no other one: it hears of nobody, and holds without that.
-func (m *Membership) Holding(bound string, now time.Time) Holding {
+// At most one instance holds a part at a time, if news reaches every instance that is in
+// touch within settleTime. The exception is an instance that knows of no other one: it holds
+// without contact.
+func (m *Membership) Division(bound string, now time.Time) Division {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.spreads[bound]
+	s := m.divisions[bound]
 	if s == nil {
-		s = &spread{}
-		m.spreads[bound] = s
-		m.updateSpread(bound, s, m.changedAt)
+		s = &divisionState{}
+		m.divisions[bound] = s
+		m.rechooseHoldersOf(bound, s, m.changedAt)
 	}
 	s.askedAt = now
-	mayHold := m.mayHoldSpread(now)
-	from := m.spreadFrom(s, now)
-	return Holding{
+	mayHold := m.mayHoldPart(now)
+	from := m.holdsPartFrom(s, now)
+	return Division{
 		Holders:  s.holders,
 		Parts:    m.parts(now),
 		IsHolder: s.isHolder && m.isListed && mayHold && !now.Before(from),
@@ -92,9 +92,9 @@
 	return !m.resumedBase.IsZero() && m.resumedBase.Equal(m.mayHoldFrom)
 }
 
-// spreadFrom returns from when on this instance may hold its part of a bound. The lock is
+// holdsPartFrom returns from when on this instance may hold its part of a bound. The lock is
 // held.
-func (m *Membership) spreadFrom(s *spread, now time.Time) time.Time {
+func (m *Membership) holdsPartFrom(s *divisionState, now time.Time) time.Time {
 	if m.isResumed() && !s.since.After(m.listedAt) && m.lapsedAt.IsZero() {
 		return m.config.StartedAt
 	}
@@ -115,11 +115,11 @@
 	m.storeAt = latest(m.storeAt, at)
 }
 
-// hasEvidence reports whether the store has answered lately, or most others answer, so that
-// it is away for all of them. Otherwise those that answer may be cut off from the store
-// together with this instance, and have successors. The lock is held.
+// hasEvidence reports whether the store has answered lately, or so many others answer that
+// it is away for all. Otherwise this instance and those that answer it may be cut off from
+// the store together, and others may have taken over their parts. The lock is held.
 func (m *Membership) hasEvidence(now time.Time) bool {
-	if now.Sub(m.storeAt) <= storeLease || m.config.IsCutOff == nil || !m.config.IsCutOff() {
+	if now.Sub(m.storeAt) <= storeLease || m.config.MayBeIsolated == nil || !m.config.MayBeIsolated() {
 		return true
 	}
 	if !m.storeAt.IsZero() {
@@ -134,16 +134,16 @@
 	return len(m.members) <= fewMembers && now.Sub(m.storeAt) <= storeLease
 }
 
-// mayHoldSpread reports whether this instance has heard from the store or another instance
+// mayHoldPart reports whether this instance has heard from the store or another instance
 // lately enough to hold a part. One that is alone must have run. The lock is held.
-func (m *Membership) mayHoldSpread(now time.Time) bool {
+func (m *Membership) mayHoldPart(now time.Time) bool {
 	if !m.hasEvidence(now) {
 		return false
 	}
 	if m.isAlone() || m.reliesOnStore(now) {
-		return now.Sub(m.sweptAt) <= spreadLease
+		return now.Sub(m.sweptAt) <= partLease
 	}
-	return (m.isInTouch(now) || m.isResumed()) && now.Sub(m.confirmedAt) <= spreadLease
+	return (m.isInTouch(now) || m.isResumed()) && now.Sub(m.confirmedAt) <= partLease
 }
 
 // isAlone reports whether this instance knows of no other one. The lock is held.
@@ -152,30 +152,30 @@
 // parts returns the number of parts of a bound. A member that is gone counts until no
 // instance can still act on a view with it. The lock is held.
 func (m *Membership) parts(now time.Time) int {
-	if len(m.members) >= maxSpread {
-		return maxSpread
+	if len(m.members) >= maxParts {
+		return maxParts
 	}
-	return min(maxSpread, max(len(m.members), m.count(settleTime+takeOverWait, now)))
+	return min(maxParts, max(len(m.members), m.count(settleTime+takeOverWait, now)))
 }
 
-// updateSpreads chooses the holders of all bounds again if the members have changed since a
+// rechooseHolders chooses the holders of all bounds again if the members have changed since a
 // version. All changes that were learned together count as one. The lock is held.
-func (m *Membership) updateSpreads(version uint64, now time.Time) {
+func (m *Membership) rechooseHolders(version uint64, now time.Time) {
 	if m.version.Load() == version {
 		return
 	}
-	for bound, s := range m.spreads {
-		if now.Sub(s.askedAt) > spreadMemory {
-			delete(m.spreads, bound)
+	for bound, s := range m.divisions {
+		if now.Sub(s.askedAt) > divisionMemory {
+			delete(m.divisions, bound)
 			continue
 		}
-		m.updateSpread(bound, s, now)
+		m.rechooseHoldersOf(bound, s, now)
 	}
 }
 
-// updateSpread chooses the holders of a bound, as of a time. The lock is held.
-func (m *Membership) updateSpread(bound string, s *spread, at time.Time) {
-	s.holders = m.chooseSpread(bound)
+// rechooseHoldersOf chooses the holders of a bound, as of a time. The lock is held.
+func (m *Membership) rechooseHoldersOf(bound string, s *divisionState, at time.Time) {
+	s.holders = m.chooseHolders(bound)
 	isHolder := slices.ContainsFunc(s.holders, func(h Member) bool { return h.ID == m.config.Self.ID })
 	if isHolder && !s.isHolder {
 		s.since = at
@@ -183,9 +183,9 @@
 	s.isHolder = isHolder
 }
 
-// chooseSpread returns the first maxSpread members in the order of a bound, with the best
+// chooseHolders returns the first maxParts members in the order of a bound, with the best
 // of each region before all others. The lock is held.
-func (m *Membership) chooseSpread(bound string) []Member {
+func (m *Membership) chooseHolders(bound string) []Member {
 	var firsts, best []scoredMember
 	for _, state := range m.members {
 		member := scoredMember{Member: state.Member, score: pollencrank.RendezvousScore(bound, state.ID)}
@@ -205,20 +205,20 @@
 		}
 	}
 	var chosen []Member
-	for _, member := range firsts[:min(len(firsts), maxSpread)] {
+	for _, member := range firsts[:min(len(firsts), maxParts)] {
 		chosen = append(chosen, member.Member)
 	}
 	return chosen
 }
 
-// insertScored inserts a member into the first maxSpread ones in order.
+// insertScored inserts a member into the first maxParts ones in order.
 func insertScored(best []scoredMember, member scoredMember) []scoredMember {
 	i, _ := slices.BinarySearchFunc(best, member, compareScored)
-	if i >= maxSpread {
+	if i >= maxParts {
 		return best
 	}
 	best = slices.Insert(best, i, member)
-	return best[:min(len(best), maxSpread)]
+	return best[:min(len(best), maxParts)]
 }
 
 // compareScored orders members by descending scores.
--- a/apportioner/spread_test.go
+++ b/apportioner/division_test.go
@@ -35,18 +35,18 @@
 	chosen := map[string]int{}
 	for n := range 77 {
 		bound := fmt.Sprint("tenant-", n)
-		held := settled(members[0], members).Holding(bound, start)
+		held := settled(members[0], members).Division(bound, start)
 		require.Equal(t, 3, held.Parts)
 		regions := map[string]bool{}
 		for _, holder := range held.Holders {
 			regions[holder.Region] = true
 			chosen[holder.ID]++
-			require.True(t, settled(holder, members).Holding(bound, start).IsHolder)
+			require.True(t, settled(holder, members).Division(bound, start).IsHolder)
 		}
 		require.Len(t, regions, 3)
 	}
 	require.Greater(t, len(chosen), 60, "all instances share the work")
-	require.Equal(t, 2, settled(members[0], members[:2]).Holding("tenant-1", start).Parts)
+	require.Equal(t, 2, settled(members[0], members[:2]).Division("tenant-1", start).Parts)
 }
 
 // Guards against a part that two instances hold at the same time: one that was removed, has
@@ -54,7 +54,7 @@
 func TestAPartIsHeldByOneInstanceAtATime(t *testing.T) {
 	members := regionMembers(9)
 	const bound, lastContact = "tenant-1", 1900 * time.Millisecond
-	earlier := settled(members[0], members).Holding(bound, start).Holders[0]
+	earlier := settled(members[0], members).Division(bound, start).Holders[0]
 	left := make([]apportioner.Member, 0, len(members))
 	for _, m := range members {
 		if m.ID != earlier.ID {
@@ -72,20 +72,20 @@
 		if elapsed <= lastContact {
 			removed.Confirm(now)
 		}
-		if removed.Holding(bound, now).IsHolder {
+		if removed.Division(bound, now).IsHolder {
 			endedAt = elapsed
 		}
 		holders := 0
 		for _, m := range successors {
 			m.Confirm(now)
 			m.Set(left, now)
-			if m.Holding(bound, now).IsHolder {
+			if m.Division(bound, now).IsHolder {
 				holders++
 			}
 		}
 		if holders == 3 && begunAt == 0 {
 			begunAt = elapsed
-			require.Equal(t, 3, settled(left[0], left).Holding(bound, now).Parts)
+			require.Equal(t, 3, settled(left[0], left).Division(bound, now).Parts)
 		}
 	}
 	require.Greater(t, endedAt, lastContact, "it may go on for a while")
@@ -96,29 +96,29 @@
 // Changes that come together must not take the parts of those that go on holding them.
 func TestAHolderGoesOnWhileOthersChange(t *testing.T) {
 	members := regionMembers(69)
-	holders := settled(members[0], members).Holding("tenant-1", start).Holders
+	holders := settled(members[0], members).Division("tenant-1", start).Holders
 	m := settled(holders[0], members)
-	before := m.Holding("tenant-1", start)
+	before := m.Division("tenant-1", start)
 	m.Set(append([]apportioner.Member{}, holders...), start)
 	m.Confirm(start.Add(2 * time.Second))
 	m.Sweep(start.Add(2 * time.Second))
-	require.Equal(t, before, m.Holding("tenant-1", start.Add(2*time.Second)))
-	m.Interrupt(start.Add(2 * time.Second))
-	require.False(t, m.Holding("tenant-1", start.Add(2*time.Second)).IsHolder, "it does not know what happened meanwhile")
+	require.Equal(t, before, m.Division("tenant-1", start.Add(2*time.Second)))
+	m.RecordSuspension(start.Add(2 * time.Second))
+	require.False(t, m.Division("tenant-1", start.Add(2*time.Second)).IsHolder, "it does not know what happened meanwhile")
 }
 
 // A part grows only when nobody can act on the earlier view any more.
 func TestPartsGrowLate(t *testing.T) {
 	members := regionMembers(2)
 	m := settled(members[0], members)
-	require.Equal(t, 2, m.Holding("tenant-1", start).Parts)
+	require.Equal(t, 2, m.Division("tenant-1", start).Parts)
 	m.Set(members[:1], start)
 	for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += time.Second {
 		m.Sweep(start.Add(elapsed))
-		require.Equal(t, 2, m.Holding("tenant-1", start.Add(elapsed)).Parts)
+		require.Equal(t, 2, m.Division("tenant-1", start.Add(elapsed)).Parts)
 	}
 	m.Sweep(start.Add(4 * time.Second))
-	require.Equal(t, 1, m.Holding("tenant-1", start.Add(4*time.Second)).Parts)
+	require.Equal(t, 1, m.Division("tenant-1", start.Add(4*time.Second)).Parts)
 }
 
 // Guards against a process that stood still and goes on as if it were alone.
@@ -129,10 +129,10 @@
 		m.Sweep(start.Add(elapsed))
 	}
 	last := start.Add(3 * time.Second)
-	require.True(t, m.Holding("tenant-1", last).IsHolder)
-	require.False(t, m.Holding("tenant-1", last.Add(4*time.Second)).IsHolder, "it has not run")
+	require.True(t, m.Division("tenant-1", last).IsHolder)
+	require.False(t, m.Division("tenant-1", last.Add(4*time.Second)).IsHolder, "it has not run")
 	m.Sweep(last.Add(4 * time.Second))
-	require.False(t, m.Holding("tenant-1", last.Add(4*time.Second)).IsHolder, "others may hold by now")
+	require.False(t, m.Division("tenant-1", last.Add(4*time.Second)).IsHolder, "others may hold by now")
 }
 
 // With fewer regions than parts, the rest of the holders follow by their scores.
@@ -142,7 +142,7 @@
 		for i := range members {
 			members[i].Region = fmt.Sprint(i % (regions + 1))
 		}
-		held := settled(members[0], members).Holding("tenant-1", start)
+		held := settled(members[0], members).Division("tenant-1", start)
 		chosen, chosenRegions := map[string]bool{}, map[string]bool{}
 		for _, holder := range held.Holders {
 			chosen[holder.ID], chosenRegions[holder.Region] = true, true
--- a/apportioner/membership.go
+++ b/apportioner/membership.go
@@ -18,8 +18,8 @@
 	// or from another instance. An instance that joins meanwhile, or that takes the place of
 	// one that was removed, waits for settleTime.
 	contactLease = settleTime
-	// maxHoldings bounds the memory for what this instance holds.
-	maxHoldings = 8192
+	// maxShareStates bounds the memory for the shares that this instance holds.
+	maxShareStates = 8192
 )
 
 // Member is an instance of the fleet.
@@ -46,9 +46,9 @@
 	Self Member
 	// StartedAt is when the instance started.
 	StartedAt time.Time
-	// IsCutOff, if set, reports whether so many others do not answer that this instance may
-	// be cut off together with those that do.
-	IsCutOff func() bool
+	// MayBeIsolated, if set, reports whether so many others do not answer that this instance may
+	// be isolated together with those that do.
+	MayBeIsolated func() bool
 }
 
 // Membership says which instances share the bounds of the whole fleet, and since when. All
@@ -82,18 +82,18 @@
 	// storeAt is when the store has last answered this instance or its relay. lapsedAt is
 	// when this instance last noticed that it may be cut off from the store with others.
 	storeAt, lapsedAt time.Time
-	// holdings caches which shares this instance holds, by the name of the bound.
-	holdings map[string]holding
-	// spreads holds the bounds that were asked for with Holding, by their names.
-	spreads map[string]*spread
+	// shareStates caches which shares this instance holds, by the name of the bound.
+	shareStates map[string]shareState
+	// divisions holds the bounds that were asked for with Division, by their names.
+	divisions map[string]*divisionState
 	// changedAt is when the members last changed, and version counts their changes.
 	changedAt time.Time
 	version   atomic.Uint64
 }
 
-// holding says whether this instance is one of those that share a bound, and since when, at
-// a version of the members.
-type holding struct {
+// shareState says whether this instance is one of those that share a bound, and since when,
+// at a version of the members.
+type shareState struct {
 	isHolder bool
 	since    time.Time
 	version  uint64
@@ -109,12 +109,12 @@
 // NewMembership returns a Membership that knows only its own instance.
 func NewMembership(config MembershipConfig) *Membership {
 	return &Membership{
-		config:     config,
-		members:    map[string]memberState{config.Self.ID: {Member: config.Self}},
-		departedAt: map[string]time.Time{},
-		changedAt:  config.StartedAt,
-		holdings:   map[string]holding{},
-		spreads:    map[string]*spread{},
+		config:      config,
+		members:     map[string]memberState{config.Self.ID: {Member: config.Self}},
+		departedAt:  map[string]time.Time{},
+		changedAt:   config.StartedAt,
+		shareStates: map[string]shareState{},
+		divisions:   map[string]*divisionState{},
 
 		confirmedAt: config.StartedAt,
 		mayHoldFrom: config.StartedAt.Add(settleTime),
@@ -126,7 +126,7 @@
 func (m *Membership) Set(members []Member, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.updateSpreads(m.version.Load(), now)
+	defer m.rechooseHolders(m.version.Load(), now)
 	if m.listedAt.IsZero() {
 		m.listedAt = now
 	}
@@ -168,9 +168,9 @@
 	m.confirmedAt = now
 }
 
-// Interrupt records that this instance did not run for a while although its clock did not
-// advance, as on a suspended machine: it does not know what others hold since.
-func (m *Membership) Interrupt(now time.Time) {
+// RecordSuspension records that the machine was suspended: its clock did not advance, and this
+// instance does not know what others have held since.
+func (m *Membership) RecordSuspension(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.waitToHold(now)
@@ -214,24 +214,24 @@
 	if !m.mayHold(now) {
 		return time.Time{}, false
 	}
-	held := m.holdings[bound]
+	held := m.shareStates[bound]
 	if version := m.version.Load(); held.version != version || held.since.IsZero() {
-		held = m.updateHolding(bound, held, count, version)
+		held = m.updateShareState(bound, held, count, version)
 	}
 	return latest(held.since, m.mayHoldFrom), held.isHolder
 }
 
-// updateHolding works out whether this instance holds a share of a bound. The lock is held.
-func (m *Membership) updateHolding(bound string, known holding, count int, version uint64) holding {
-	if len(m.holdings) >= maxHoldings {
-		clear(m.holdings)
+// updateShareState works out whether this instance holds a share of a bound. The lock is held.
+func (m *Membership) updateShareState(bound string, known shareState, count int, version uint64) shareState {
+	if len(m.shareStates) >= maxShareStates {
+		clear(m.shareStates)
 	}
-	next := holding{isHolder: m.isAmongFirst(bound, count), since: m.changedAt, version: version}
+	next := shareState{isHolder: m.isAmongFirst(bound, count), since: m.changedAt, version: version}
 	// If a version was not looked at, another instance may have held the share in it.
 	if known.isHolder && next.isHolder && known.version+1 == version {
 		next.since = known.since
 	}
-	m.holdings[bound] = next
+	m.shareStates[bound] = next
 	return next
 }
 
@@ -290,7 +290,7 @@
 func (m *Membership) Sweep(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.updateSpreads(m.version.Load(), now)
+	defer m.rechooseHolders(m.version.Load(), now)
 	if !m.sweptAt.IsZero() && now.Sub(m.sweptAt) > contactLease {
 		// The process stood still.
 		m.waitToHold(now)
--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -56,7 +56,7 @@
 // parts that are held early by whoever got them later.
 func TestAnInstanceThatResumesHoldsAtOnce(t *testing.T) {
 	members := regionMembers(9)
-	holders := settled(members[0], members).Holding("tenant-1", start).Holders
+	holders := settled(members[0], members).Division("tenant-1", start).Holders
 	resumed := func() *apportioner.Membership {
 		m := apportioner.NewMembership(apportioner.MembershipConfig{Self: holders[0], StartedAt: start})
 		m.Set(members, start.Add(200*time.Millisecond))
@@ -65,17 +65,17 @@
 	}
 	now := start.Add(400 * time.Millisecond)
 	m := resumed()
-	require.False(t, m.Holding("tenant-1", now).IsHolder)
+	require.False(t, m.Division("tenant-1", now).IsHolder)
 	m.Resume()
-	held := m.Holding("tenant-1", now)
+	held := m.Division("tenant-1", now)
 	require.True(t, held.IsHolder)
 	require.Equal(t, start, held.From, "the bucket is empty as of the start")
 	_, isHolder := m.HeldSince("tenant-1", 3, now)
 	require.False(t, isHolder, "other bounds wait")
-	require.False(t, m.Holding("tenant-1", now.Add(1200*time.Millisecond)).IsHolder, "it has heard nobody since")
+	require.False(t, m.Division("tenant-1", now.Add(1200*time.Millisecond)).IsHolder, "it has heard nobody since")
 
 	for name, disturb := range map[string]func(m *apportioner.Membership){
-		"a suspension": func(m *apportioner.Membership) { m.Interrupt(now) },
+		"a suspension": func(m *apportioner.Membership) { m.RecordSuspension(now) },
 		"an absence": func(m *apportioner.Membership) {
 			m.Set(members[:0], now)
 			m.Set(members, now)
@@ -85,7 +85,7 @@
 		m.Resume()
 		disturb(m)
 		m.Confirm(now)
-		require.False(t, m.Holding("tenant-1", now).IsHolder, name)
+		require.False(t, m.Division("tenant-1", now).IsHolder, name)
 	}
 
 	// The holder's successor waits, although it has resumed.
@@ -99,11 +99,11 @@
 		m := apportioner.NewMembership(apportioner.MembershipConfig{Self: member, StartedAt: start})
 		m.Set(members, start)
 		m.Resume()
-		before := m.Holding("tenant-1", start).IsHolder
+		before := m.Division("tenant-1", start).IsHolder
 		for elapsed := time.Duration(0); elapsed < 3200*time.Millisecond; elapsed += 50 * time.Millisecond {
 			m.Confirm(start.Add(elapsed))
 			m.Set(left, start.Add(elapsed))
-			require.Equal(t, before, m.Holding("tenant-1", start.Add(elapsed)).IsHolder)
+			require.Equal(t, before, m.Division("tenant-1", start.Add(elapsed)).IsHolder)
 		}
 	}
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -191,7 +191,7 @@
 		cutOffPeers:  cutOffPeers{until: map[string]time.Time{}},
 	}
 	h.bounds.Store(&config.Bounds)
-	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt, IsCutOff: h.isCutOff})
+	h.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: memberOf(config.Self), StartedAt: h.startedAt, MayBeIsolated: h.mayBeIsolated})
 	h.warmer = warmer.New(h.membership)
 	h.budgets = forwarder.NewBudgets(forwarder.BudgetsConfig{
 		Retries: config.Bounds.Retries, Membership: h.membership, MinInstances: len(config.RegionOf),
@@ -203,13 +203,13 @@
 	h.isolator = isolator.New(isolator.Config{})
 	h.broadcaster = &suspectBroadcaster{client: h.peers, peers: h.roster.peers, log: config.Log}
 	h.prober = prober.New(prober.Config{
-		Self:     config.Self.ID,
-		Probe:    h.requestState,
-		OnDead:   h.removeDead,
-		Domain:   config.Self.FailureDomain,
-		AsksAll:  h.hasTenants,
-		OnChange: h.roster.publish,
-		Log:      config.Log,
+		Self:              config.Self.ID,
+		Probe:             h.requestState,
+		OnDead:            h.removeDead,
+		Domain:            config.Self.FailureDomain,
+		ProbesMoreAtStart: h.hasTenants,
+		OnChange:          h.roster.publish,
+		Log:               config.Log,
 	})
 	h.held = newHeldBytes(config.MemoryBytes)
 	h.rerouter = h.newRerouter()
--- a/hoster/quotas.go
+++ b/hoster/quotas.go
@@ -96,8 +96,7 @@
 	}
 	// These headers would be most of the answer.
 	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
-	const microsecond = 1e-3
-	pause := math.Round(loan.RetryAfter.Seconds()*1e3/microsecond) * microsecond
+	pause := float64(loan.RetryAfter.Round(time.Microsecond)) / float64(time.Millisecond)
 	return json.NewEncoder(w).Encode(quotaAnswer{Granted: loan.Granted, RetryAfterMs: pause})
 }
 
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -139,8 +139,8 @@
 	return members
 }
 
-// isCutOff reports whether this instance may be cut off together with those that answer it.
-func (h *Hoster) isCutOff() bool { return h.prober != nil && h.prober.IsCutOff() }
+// mayBeIsolated reports whether this instance may be isolated together with those that answer it.
+func (h *Hoster) mayBeIsolated() bool { return h.prober != nil && h.prober.MayBeIsolated() }
 
 func memberOf(i namer.Instance) apportioner.Member {
 	return apportioner.Member{ID: i.ID, FailureDomain: i.FailureDomain, Region: i.Region}
--- a/prober/cut_test.go
+++ b/prober/cut_test.go
@@ -17,13 +17,13 @@
 func TestAnInstanceThatMissesManyMayBeCutOff(t *testing.T) {
 	run(t, 9, func(f *fleet, p *prober.Prober, all []namer.Instance) {
 		time.Sleep(2 * time.Second)
-		require.False(t, p.IsCutOff())
+		require.False(t, p.MayBeIsolated())
 		f.kill(all[1].ID)
 		time.Sleep(time.Second)
-		require.False(t, p.IsCutOff())
+		require.False(t, p.MayBeIsolated())
 		f.kill(all[2].ID)
 		time.Sleep(time.Second)
-		require.True(t, p.IsCutOff())
+		require.True(t, p.MayBeIsolated())
 	})
 }
 
@@ -37,7 +37,7 @@
 				f.states[i.ID] = prober.State{Incarnation: 1}
 			}
 			p := prober.New(prober.Config{
-				Self: all[0].ID, Probe: f.probe, AsksAll: func() bool { return isWanted },
+				Self: all[0].ID, Probe: f.probe, ProbesMoreAtStart: func() bool { return isWanted },
 				OnChange: f.changed, Log: slog.New(slog.DiscardHandler),
 			})
 			p.SetInstances(all)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -36,11 +36,12 @@
 	probeInterval = 900 * time.Millisecond
 	// probeTimeout is the timeout of one probe.
 	probeTimeout = 700 * time.Millisecond
-	// firstRounds is the number of rounds after the first instances are set in which others
-	// than the neighbours are probed too, and firstTargets how many of them at most.
-	firstRounds  = 4
-	firstTargets = 64
-	// resultMemory is how long the result of a probe counts for IsCutOff, and maxFailedShare
+	// maxStartRounds is the number of rounds after the first instances are set in which others
+	// than the neighbours are probed too, and maxStartTargets the largest number of them in
+	// a round.
+	maxStartRounds  = 4
+	maxStartTargets = 64
+	// resultMemory is how long the result of a probe counts for MayBeIsolated, and maxFailedShare
 	// the share of failed ones from which on it reports true.
 	resultMemory   = 4 * time.Second
 	maxFailedShare = 0.25
@@ -75,8 +76,9 @@
 	Probe func(ctx context.Context, instance namer.Instance) (State, error)
 	// OnDead is called for each instance that stops or that has become dead.
 	OnDead func(ctx context.Context, instance namer.Instance)
-	// AsksAll, if set, reports whether others than the neighbours are probed after the start.
-	AsksAll func() bool
+	// ProbesMoreAtStart, if set, reports whether others than the neighbours are probed too at
+	// the start.
+	ProbesMoreAtStart func() bool
 	// OnChange is called when the set of dead instances changes, when an instance
 	// answers for the first time, and when its readiness changes.
 	OnChange func()
@@ -94,10 +96,10 @@
 	// readyByID holds the instances that have answered at least once, with the
 	// readiness in their last answer.
 	readyByID map[string]bool
-	// rounds counts the calls of chooseFirst, up to firstRounds, and asked holds who has
-	// answered them.
-	rounds int
-	asked  map[string]bool
+	// startRounds counts the rounds of probes at the start, up to maxStartRounds, and
+	// startAnswered holds the instances that have answered them.
+	startRounds   int
+	startAnswered map[string]bool
 	// results holds the last result of the probes of each instance.
 	results map[string]result
 	// wakeup starts a round of probes when the first instances are set.
@@ -106,7 +108,7 @@
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, asked: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, startAnswered: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -201,8 +203,8 @@
 		for _, i := range p.probeTargets() {
 			probes.Go(func() { p.probe(ctx, i) })
 		}
-		for _, i := range p.chooseFirst() {
-			probes.Go(func() { p.greet(ctx, i) })
+		for _, i := range p.startTargets() {
+			probes.Go(func() { p.probeAtStart(ctx, i) })
 		}
 	}
 }
@@ -234,32 +236,33 @@
 	return p.addDistantTarget(targets)
 }
 
-// chooseFirst returns further instances to probe after the start, at random: whoever starts
-// asks them whether they have just started too.
-func (p *Prober) chooseFirst() []namer.Instance {
-	if p.config.AsksAll == nil || !p.config.AsksAll() {
+// startTargets returns further instances to probe at the start, at random: their answers say
+// whether they have just started too.
+func (p *Prober) startTargets() []namer.Instance {
+	if p.config.ProbesMoreAtStart == nil || !p.config.ProbesMoreAtStart() {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.rounds >= firstRounds || len(p.instances) == 0 {
+	if p.startRounds >= maxStartRounds || len(p.instances) == 0 {
 		return nil
 	}
-	p.rounds++
+	p.startRounds++
 	var targets []namer.Instance
 	for _, n := range rand.Perm(len(p.instances)) {
-		if i := p.instances[n]; !p.asked[i.ID] && i.ID != p.config.Self && len(targets) < firstTargets {
+		if i := p.instances[n]; !p.startAnswered[i.ID] && i.ID != p.config.Self && len(targets) < maxStartTargets {
 			targets = append(targets, i)
 		}
 	}
 	return targets
 }
 
-// greet probes an instance once. That it does not answer is left to its neighbours.
-func (p *Prober) greet(ctx context.Context, i namer.Instance) {
+// probeAtStart probes an instance once. A missing answer does not count: its neighbours
+// count those.
+func (p *Prober) probeAtStart(ctx context.Context, i namer.Instance) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	// Probe passes what the instance says of its start on.
+	// Probe passes on what the instance says of its start.
 	_, err := p.config.Probe(probeCtx, i)
 	if err != nil {
 		p.config.Log.Debug("an instance does not answer after the start", slog.String("instance", i.ID), slog.Any("error", err))
@@ -267,7 +270,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.asked[i.ID] = true
+	p.startAnswered[i.ID] = true
 }
 
 // addDistantTarget adds an instance of another failure domain, chosen at random in
@@ -317,9 +320,9 @@
 	p.results[i.ID] = result{isAnswered: isAnswered, at: time.Now()}
 }
 
-// IsCutOff reports whether so many of the instances that were probed lately have not
-// answered that this one may be cut off, alone or together with the others.
-func (p *Prober) IsCutOff() bool {
+// MayBeIsolated reports whether so many of the instances that were probed lately have not
+// answered that this one may be isolated, alone or together with the others.
+func (p *Prober) MayBeIsolated() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	probed, failed := 0, 0
--- a/rationer/account.go
+++ b/rationer/account.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,18 +16,17 @@
 )
 
 const (
-	// maxSpentPause is how long a holder is not asked at most after it was spent: it may
-	// have got a larger part in the meantime.
+	// maxSpentPause is the longest time for which a spent holder is not asked: its part may
+	// have grown in the meantime.
 	maxSpentPause = time.Second
-	// minSpentPause is how long it is not asked at least.
+	// minSpentPause is the shortest such time.
 	minSpentPause = 5 * time.Millisecond
 	// unreachableRetryDelay is the time after which a caller may retry if no holder could
 	// be asked.
 	unreachableRetryDelay = 300 * time.Millisecond
 	// demandTime is the time constant with which the observed demand decays.
 	demandTime = time.Second
-	// minValidity is the validity that a token borrowed in advance has at least when it is
-	// taken.
+	// minValidity is the least validity left of a token borrowed in advance when it is taken.
 	minValidity = 50 * time.Millisecond
 )
 
@@ -37,7 +37,7 @@
 
 	mu     sync.Mutex
 	bucket bucket
-	lines  []*line
+	others []*otherHolder
 	usedAt time.Time
 	// demand is the number of requests a second, with a decay, as of demandAt.
 	demand   float64
@@ -67,14 +67,14 @@
 	}}
 }
 
-// line is another holder of the quota, with the requests that wait for tokens of it.
-type line struct {
+// otherHolder is another holder of the quota, with the requests that wait for tokens of it.
+type otherHolder struct {
 	id string
-	// spentUntil and silentUntil are until when it is not asked, and retryAt is when it
-	// expects the next token, as it said at spentAt.
+	// It is not asked until spentUntil and silentUntil. At spentAt it said that it expects
+	// the next token at retryAt.
 	spentUntil, silentUntil, retryAt, spentAt time.Time
 
-	waiting  []*ask
+	waiters  []*waiter
 	isAsking bool
 	// flight is how long the last loan took.
 	flight time.Duration
@@ -84,48 +84,37 @@
 	stockUntil time.Time
 }
 
-func (l *line) mayAsk(now time.Time) bool {
-	return !now.Before(l.spentUntil) && !now.Before(l.silentUntil)
+func (o *otherHolder) mayAsk(now time.Time) bool {
+	return !now.Before(o.spentUntil) && !now.Before(o.silentUntil)
 }
 
-// lineOf returns the line of a holder. The lock is held.
-func (a *account) lineOf(id string) *line {
-	for _, l := range a.lines {
-		if l.id == id {
-			return l
+// otherHolderOf returns what is known of a holder. The lock is held.
+func (a *account) otherHolderOf(id string) *otherHolder {
+	for _, o := range a.others {
+		if o.id == id {
+			return o
 		}
 	}
-	l := &line{id: id}
-	a.lines = append(a.lines, l)
-	return l
+	o := &otherHolder{id: id}
+	a.others = append(a.others, o)
+	return o
 }
 
-// dropLines forgets the lines of instances that no longer hold a part. The lock is held.
-func (a *account) dropLines(holding apportioner.Holding) {
-	if len(a.lines) <= len(holding.Holders) {
+// dropOtherHolders forgets the instances that no longer hold a part. The lock is held.
+func (a *account) dropOtherHolders(division apportioner.Division) {
+	if len(a.others) <= len(division.Holders) {
 		return
 	}
-	var kept []*line
-	for _, l := range a.lines {
-		if l.isAsking || isAmong(holding.Holders, l.id) {
-			kept = append(kept, l)
-		}
-	}
-	a.lines = kept
+	a.others = slices.DeleteFunc(a.others, func(o *otherHolder) bool { return !o.isAsking && !isHolder(division, o.id) })
 }
 
-func isAmong(members []apportioner.Member, id string) bool {
-	for i := range members {
-		if members[i].ID == id {
-			return true
-		}
-	}
-	return false
+func isHolder(division apportioner.Division, id string) bool {
+	return slices.ContainsFunc(division.Holders, func(h apportioner.Member) bool { return h.ID == id })
 }
 
 // takeOwn takes a token of this instance's own part. The lock is held.
-func (a *account) takeOwn(part part, holding apportioner.Holding, now time.Time) bool {
-	if !a.hasOwn(part, holding, now) {
+func (a *account) takeOwn(part part, division apportioner.Division, now time.Time) bool {
+	if !a.hasOwn(part, division, now) {
 		return false
 	}
 	a.metrics.taken.Inc()
@@ -133,11 +122,11 @@
 }
 
 // hasOwn reports whether there is a token of the own part. The lock is held.
-func (a *account) hasOwn(part part, holding apportioner.Holding, now time.Time) bool {
-	if !holding.IsHolder {
+func (a *account) hasOwn(part part, division apportioner.Division, now time.Time) bool {
+	if !division.IsHolder {
 		return false
 	}
-	a.bucket.fill(part, holding.From, now)
+	a.bucket.fill(part, division.From, now)
 	return a.bucket.tokens >= 1
 }
 
@@ -156,20 +145,20 @@
 
 // takeStock takes a token that was borrowed in advance. The lock is held.
 func (a *account) takeStock(clock time.Time) (time.Time, bool) {
-	l := a.stocked(clock)
-	if l == nil {
+	o := a.stocked(clock)
+	if o == nil {
 		return time.Time{}, false
 	}
-	l.stock--
-	return l.stockUntil, true
+	o.stock--
+	return o.stockUntil, true
 }
 
-// stocked returns a line with tokens that were borrowed in advance and are valid for a
+// stocked returns a holder with tokens that were borrowed in advance and are valid for a
 // while, or nil. The lock is held.
-func (a *account) stocked(clock time.Time) *line {
-	for _, l := range a.lines {
-		if l.stock > 0 && l.stockUntil.Sub(clock) > minValidity {
-			return l
+func (a *account) stocked(clock time.Time) *otherHolder {
+	for _, o := range a.others {
+		if o.stock > 0 && o.stockUntil.Sub(clock) > minValidity {
+			return o
 		}
 	}
 	return nil
@@ -177,58 +166,49 @@
 
 // addStock keeps borrowed tokens that no request waits for. Older ones that are left
 // shorten the validity of all of them.
-func (l *line) addStock(count int, expiresAt, clock time.Time) {
-	if l.stock > 0 && l.stockUntil.Sub(clock) > minValidity {
-		l.stock += count
+func (o *otherHolder) addStock(count int, expiresAt, clock time.Time) {
+	if o.stock > 0 && o.stockUntil.Sub(clock) > minValidity {
+		o.stock += count
 		return
 	}
-	l.stock, l.stockUntil = count, expiresAt
+	o.stock, o.stockUntil = count, expiresAt
 }
 
 // chooseHolder returns the nearest of the other holders that may be asked and has not been
 // tried, or nil. Of equally near ones it chooses at random. The lock is held.
-func (a *account) chooseHolder(holding apportioner.Holding, tried []string, self apportioner.Member, now time.Time) *line {
-	a.dropLines(holding)
-	var chosen *line
+func (a *account) chooseHolder(division apportioner.Division, tried []string, self apportioner.Member, now time.Time) *otherHolder {
+	a.dropOtherHolders(division)
+	var chosen *otherHolder
 	least, equals := 0, 0
-	for i := range holding.Holders {
-		holder := &holding.Holders[i]
-		if holder.ID == self.ID || contains(tried, holder.ID) {
+	for i := range division.Holders {
+		holder := &division.Holders[i]
+		if holder.ID == self.ID || slices.Contains(tried, holder.ID) {
 			continue
 		}
-		l := a.lineOf(holder.ID)
-		if !l.mayAsk(now) {
+		o := a.otherHolderOf(holder.ID)
+		if !o.mayAsk(now) {
 			continue
 		}
 		distance := self.DistanceTo(*holder)
 		if chosen == nil || distance < least {
-			chosen, least, equals = l, distance, 1
+			chosen, least, equals = o, distance, 1
 			continue
 		}
 		if distance == least {
 			equals++
 			if rand.IntN(equals) == 0 {
-				chosen = l
+				chosen = o
 			}
 		}
 	}
 	return chosen
 }
 
-func contains(ids []string, id string) bool {
-	for _, known := range ids {
-		if known == id {
-			return true
-		}
-	}
-	return false
-}
-
 // refuse returns the refusal of a request: the quota is spent, or no holder could be asked.
 // Callers that are refused one after the other are asked to come back one token after the
 // other. The lock is held.
-func (a *account) refuse(part part, holding apportioner.Holding, quota router.Quota, now time.Time) *pollencrank.NotRunError {
-	next, isKnown := a.nextAt(part, holding, now)
+func (a *account) refuse(part part, division apportioner.Division, quota router.Quota, now time.Time) *pollencrank.NotRunError {
+	next, isKnown := a.nextAt(part, division, now)
 	if !isKnown {
 		a.metrics.unreachable.Inc()
 		err := pollencrank.NotRun(pollencrank.ReasonQuotaUnreachable, "no holder of the quota of tenant %s answers", a.name)
@@ -246,20 +226,20 @@
 
 // nextAt returns when the next token is expected at any holder, and reports false if none
 // of them has answered lately. The lock is held.
-func (a *account) nextAt(part part, holding apportioner.Holding, now time.Time) (time.Time, bool) {
+func (a *account) nextAt(part part, division apportioner.Division, now time.Time) (time.Time, bool) {
 	next, isKnown := time.Time{}, false
 	add := func(at time.Time) {
 		if !isKnown || at.Before(next) {
 			next, isKnown = at, true
 		}
 	}
-	if holding.IsHolder {
-		a.bucket.fill(part, holding.From, now)
+	if division.IsHolder {
+		a.bucket.fill(part, division.From, now)
 		add(a.bucket.nextAt(now))
 	}
-	for _, l := range a.lines {
-		if now.Sub(l.spentAt) <= maxSpentPause && isAmong(holding.Holders, l.id) {
-			add(l.retryAt)
+	for _, o := range a.others {
+		if now.Sub(o.spentAt) <= maxSpentPause && isHolder(division, o.id) {
+			add(o.retryAt)
 		}
 	}
 	if next.Before(now) {
--- a/rationer/account_test.go
+++ b/rationer/account_test.go
@@ -17,8 +17,8 @@
 
 func (silentFleet) Self() apportioner.Member { return apportioner.Member{ID: "a"} }
 
-func (silentFleet) Holding(string, time.Time) apportioner.Holding {
-	return apportioner.Holding{Holders: []apportioner.Member{{ID: "b"}}, Parts: 1}
+func (silentFleet) Division(string, time.Time) apportioner.Division {
+	return apportioner.Division{Holders: []apportioner.Member{{ID: "b"}}, Parts: 1}
 }
 
 func (silentFleet) Borrow(context.Context, string, string, int) (Loan, error) {
--- a/rationer/bound_test.go
+++ b/rationer/bound_test.go
@@ -175,14 +175,14 @@
 
 // isHolder reports whether the instance holds a part of the first tenant's quota.
 func (i *instance) isHolder() bool {
-	return !i.isDead.Load() && i.membership.Holding(i.f.tenants[0].Name, i.now()).IsHolder
+	return !i.isDead.Load() && i.membership.Division(i.f.tenants[0].Name, i.now()).IsHolder
 }
 
 // holders returns the instances that hold a part of the quota.
 func (f *fleet) holders() []*instance {
 	var holders []*instance
 	for _, i := range f.instances {
-		if !i.isDead.Load() && i.membership.Holding("tenant-1", i.now()).IsHolder {
+		if !i.isDead.Load() && i.membership.Division("tenant-1", i.now()).IsHolder {
 			holders = append(holders, i)
 		}
 	}
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -122,7 +122,7 @@
 
 func (f *fleet) startIn(member apportioner.Member) {
 	i := &instance{f: f, isListed: true, startedAt: time.Now(), Member: member}
-	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now(), IsCutOff: i.missesMany})
+	i.membership = apportioner.NewMembership(apportioner.MembershipConfig{Self: i.Member, StartedAt: time.Now(), MayBeIsolated: i.missesMany})
 	i.Rationer = rationer.New(rationer.Config{
 		Fleet: i.membership, Lender: i, Bounds: bounds, Log: slog.New(slog.DiscardHandler),
 		Find:      func(name string) *router.Tenant { return (*i.tenants.Load())[name] },
@@ -300,8 +300,8 @@
 		if i.isDead.Load() || i.isDeaf || time.Now().UnixNano() < i.stalledUntil.Load() {
 			continue
 		}
-		if holding := i.membership.Holding(f.tenants[0].Name, i.now()); holding.IsHolder {
-			held += 1 / float64(holding.Parts)
+		if division := i.membership.Division(f.tenants[0].Name, i.now()); division.IsHolder {
+			held += 1 / float64(division.Parts)
 		}
 	}
 	if held > f.mostHeld {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -38,6 +38,8 @@
 	borrowTimeout = 200 * time.Millisecond
 	// silentPause is how long a holder is not asked after it did not answer.
 	silentPause = 700 * time.Millisecond
+	// maxTries is the number of holders that are asked for one request.
+	maxTries = 3
 	// maxCount is the largest number of tokens in one loan.
 	maxCount = 256
 	// minSuspension is the suspension of the machine from which on this instance forgets
@@ -52,9 +54,9 @@
 
 // Fleet says which instances hold a part of a quota. apportioner.Membership implements it.
 type Fleet interface {
-	Holding(bound string, now time.Time) apportioner.Holding
-	// Interrupt records that the machine was suspended.
-	Interrupt(now time.Time)
+	Division(bound string, now time.Time) apportioner.Division
+	// RecordSuspension records that the machine was suspended.
+	RecordSuspension(now time.Time)
 	Self() apportioner.Member
 }
 
@@ -91,7 +93,7 @@
 type Rationer struct {
 	config Config
 	rules  atomic.Pointer[rules]
-	// suspended is the total suspension of the machine when it was last looked at.
+	// suspended is the total suspension of the machine that was last read.
 	suspended atomic.Int64
 	// isStopping is set by Stop.
 	isStopping atomic.Bool
@@ -126,11 +128,11 @@
 // no news of the members from now on. It goes on borrowing.
 func (r *Rationer) Stop() { r.isStopping.Store(true) }
 
-// holding returns who shares a quota.
-func (r *Rationer) holding(tenant string, now time.Time) apportioner.Holding {
-	holding := r.config.Fleet.Holding(tenant, now)
-	holding.IsHolder = holding.IsHolder && !r.isStopping.Load()
-	return holding
+// division returns who holds the parts of a quota.
+func (r *Rationer) division(tenant string, now time.Time) apportioner.Division {
+	division := r.config.Fleet.Division(tenant, now)
+	division.IsHolder = division.IsHolder && !r.isStopping.Load()
+	return division
 }
 
 // Token permits one request to be sent. The zero value is the token of a request without a
@@ -153,9 +155,9 @@
 	var tried [maxTries]string
 	for tries := 0; ; tries++ {
 		now, clock := r.read()
-		holding := r.holding(tenant.Name, now)
+		division := r.division(tenant.Name, now)
 		a.mu.Lock()
-		if a.takeOwn(r.ownPart(tenant, holding), holding, now) {
+		if a.takeOwn(r.ownPart(tenant, division), division, now) {
 			a.mu.Unlock()
 			return Token{expiresAt: clock.Add(r.rules.Load().lifetime)}, nil
 		}
@@ -163,17 +165,17 @@
 			a.mu.Unlock()
 			return Token{expiresAt: expiresAt}, nil
 		}
-		holder := a.chooseHolder(holding, tried[:min(tries, maxTries)], r.config.Fleet.Self(), now)
+		holder := a.chooseHolder(division, tried[:min(tries, maxTries)], r.config.Fleet.Self(), now)
 		if holder == nil || tries == maxTries {
-			err := a.refuse(r.ownPart(tenant, holding), holding, tenant.Quota, now)
+			err := a.refuse(r.ownPart(tenant, division), division, tenant.Quota, now)
 			a.mu.Unlock()
 			r.logSpent(a, tenant, err)
 			return Token{}, err
 		}
 		tried[tries] = holder.id
-		ask := r.join(a, holder)
+		waiting := r.join(a, holder)
 		a.mu.Unlock()
-		expiresAt, isGranted := ask.wait(ctx)
+		expiresAt, isGranted := waiting.wait(ctx)
 		if isGranted {
 			return Token{expiresAt: expiresAt}, nil
 		}
@@ -183,9 +185,6 @@
 	}
 }
 
-// maxTries is the number of holders that are asked for one request.
-const maxTries = 3
-
 // Renew has to be called right before a request is sent. It takes another token if the
 // request's token is no longer valid, because the request has waited, or if the request has
 // been sent with it before. It uses the token.
@@ -224,15 +223,15 @@
 		return nil
 	}
 	now, clock := r.read()
-	holding := r.holding(tenant.Name, now)
+	division := r.division(tenant.Name, now)
 	a := r.accountOf(tenant.Name, now)
 	a.mu.Lock()
-	part := r.ownPart(tenant, holding)
-	if a.hasOwn(part, holding, now) || a.stocked(clock) != nil || a.chooseHolder(holding, nil, r.config.Fleet.Self(), now) != nil {
+	part := r.ownPart(tenant, division)
+	if a.hasOwn(part, division, now) || a.stocked(clock) != nil || a.chooseHolder(division, nil, r.config.Fleet.Self(), now) != nil {
 		a.mu.Unlock()
 		return nil
 	}
-	err := a.refuse(part, holding, tenant.Quota, now)
+	err := a.refuse(part, division, tenant.Quota, now)
 	a.mu.Unlock()
 	r.logSpent(a, tenant, err)
 	return err
@@ -246,14 +245,14 @@
 		return Loan{}, false
 	}
 	now, _ := r.read()
-	holding := r.holding(name, now)
-	if !holding.IsHolder || count <= 0 {
+	division := r.division(name, now)
+	if !division.IsHolder || count <= 0 {
 		return Loan{}, false
 	}
 	a := r.accountOf(name, now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bucket.fill(r.ownPart(tenant, holding), holding.From, now)
+	a.bucket.fill(r.ownPart(tenant, division), division.From, now)
 	loan := a.bucket.lend(min(count, maxCount), now)
 	a.metrics.lent.Add(loan.Granted)
 	return loan, true
@@ -261,11 +260,11 @@
 
 // ownPart returns the size of a holder's part of a tenant's quota in force, which may be
 // newer than the request's.
-func (r *Rationer) ownPart(tenant *router.Tenant, holding apportioner.Holding) part {
+func (r *Rationer) ownPart(tenant *router.Tenant, division apportioner.Division) part {
 	if current := r.config.Find(tenant.Name); current != nil {
 		tenant = current
 	}
-	return r.rules.Load().partOf(tenant.Quota, holding.Parts)
+	return r.rules.Load().partOf(tenant.Quota, division.Parts)
 }
 
 // read returns the time, and the time on a clock that includes suspensions of the machine.
@@ -274,8 +273,8 @@
 	now = r.config.Now()
 	suspended := r.config.Suspended()
 	if known := r.suspended.Load(); suspended > time.Duration(known)+minSuspension {
-		// Whoever sees the new value must find the interruption recorded.
-		r.config.Fleet.Interrupt(now)
+		// Whoever sees the new value must find the suspension recorded.
+		r.config.Fleet.RecordSuspension(now)
 		r.suspended.CompareAndSwap(known, int64(suspended))
 	}
 	return now, now.Add(suspended)
--- a/rationer/restart_test.go
+++ b/rationer/restart_test.go
@@ -19,7 +19,7 @@
 		f.run(firstListDelay+step, nil)
 		require.Len(t, f.holders(), 3)
 		for _, i := range f.holders() {
-			require.Equal(t, restartedAt, i.membership.Holding("tenant-1", i.now()).From, "the buckets are empty as of the start")
+			require.Equal(t, restartedAt, i.membership.Division("tenant-1", i.now()).From, "the buckets are empty as of the start")
 		}
 		f.run(10*time.Second, send)
 		f.finish()
--- a/rationer/rules.go
+++ b/rationer/rules.go
@@ -16,7 +16,8 @@
 	minLifetime = 200 * time.Millisecond
 	maxLifetime = 5 * time.Second
 	// slackShare is the share of the slack by which the buckets of a quota may together hold
-	// more than its burst.
+	// more than its burst, so that each holds whole tokens. The rest is for requests that
+	// arrive closer together than they were sent.
 	slackShare = 0.6
 	// minWindow is the shortest window that is accepted.
 	minWindow = 100 * time.Millisecond
--- a/rationer/status.go
+++ b/rationer/status.go
@@ -39,27 +39,27 @@
 }
 
 func (r *Rationer) describe(tenant *router.Tenant, now time.Time) Status {
-	holding := r.holding(tenant.Name, now)
+	division := r.division(tenant.Name, now)
 	status := Status{
-		Tenant: tenant.Name, Quota: tenant.Quota, IsHolder: holding.IsHolder,
+		Tenant: tenant.Name, Quota: tenant.Quota, IsHolder: division.IsHolder,
 		SpentUntil: map[string]time.Time{}, SilentUntil: map[string]time.Time{},
 	}
-	for _, holder := range holding.Holders {
+	for _, holder := range division.Holders {
 		status.Holders = append(status.Holders, holder.ID)
 	}
 	a := r.accountOf(tenant.Name, now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if holding.IsHolder {
-		a.bucket.fill(r.ownPart(tenant, holding), holding.From, now)
+	if division.IsHolder {
+		a.bucket.fill(r.ownPart(tenant, division), division.From, now)
 		status.Tokens = a.bucket.tokens
 	}
-	for _, l := range a.lines {
-		if now.Before(l.spentUntil) {
-			status.SpentUntil[l.id] = l.spentUntil
+	for _, o := range a.others {
+		if now.Before(o.spentUntil) {
+			status.SpentUntil[o.id] = o.spentUntil
 		}
-		if now.Before(l.silentUntil) {
-			status.SilentUntil[l.id] = l.silentUntil
+		if now.Before(o.silentUntil) {
+			status.SilentUntil[o.id] = o.silentUntil
 		}
 	}
 	return status
