--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -68,7 +68,7 @@
 	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
-		answer.IsHeldBack = full.IsShare
+		answer.IsOverCallerShare = full.IsShare
 		answer.Body = stream(ctx, answer, backend)
 		return nil
 	}
@@ -87,7 +87,7 @@
 		answer.Body = &bufferedBody{Reader: body.Reader(), body: body}
 		return nil
 	}
-	answer.IsHeldBack = body.IsShareSpent()
+	answer.IsOverCallerShare = body.IsShareSpent()
 	streamed := stream(ctx, answer, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
--- a/forwarder/slow_test.go
+++ b/forwarder/slow_test.go
@@ -45,7 +45,7 @@
 			require.True(t, first.IsWhole)
 			second := s.forwardShare(t, slow)
 			require.False(t, second.IsWhole)
-			require.True(t, second.IsHeldBack)
+			require.True(t, second.IsOverCallerShare)
 			require.True(t, s.forwardShare(t, other).IsWhole)
 			body, err := io.ReadAll(second.Body)
 			require.NoError(t, err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -231,7 +231,7 @@
 func (r *Relayer) deliver(w http.ResponseWriter, call *forwarder.Call, body requestBody, answer *pollencrank.Answer, started time.Time) {
 	switch {
 	case answer.IsWhole:
-	case answer.IsHeldBack:
+	case answer.IsOverCallerShare:
 		defer call.Share.BeginStream()()
 	default:
 		r.streamedRoutes.add(call.Route.Name, time.Now())
--- a/relayer/slow_test.go
+++ b/relayer/slow_test.go
@@ -35,7 +35,7 @@
 			Forwarder: forwardFunc(func(_ context.Context, call *forwarder.Call) (*pollencrank.Answer, error) {
 				got = call.Share
 				a := answer("streamed")
-				a.IsHeldBack = isHeldBack
+				a.IsOverCallerShare = isHeldBack
 				return a, nil
 			}),
 		})
@@ -58,7 +58,7 @@
 		Table: func() *router.Table { return table }, Dialect: dialect{}, Log: slog.New(slog.DiscardHandler),
 		Forwarder: forwardFunc(func(context.Context, *forwarder.Call) (*pollencrank.Answer, error) {
 			a := answer("streamed")
-			a.IsHeldBack = true
+			a.IsOverCallerShare = true
 			a.Body = io.NopCloser(readFunc(func([]byte) (int, error) {
 				reads++
 				require.True(t, r.RunsAlone(incoming))
--- a/request.go
+++ b/request.go
@@ -52,9 +52,9 @@
 	ConnectedAt time.Time
 	// IsWhole reports whether the whole body is held: reading it cannot fail.
 	IsWhole bool
-	// IsHeldBack reports whether the body is not held as a whole only because its caller has
+	// IsOverCallerShare reports whether the body is not held as a whole only because its caller has
 	// not taken earlier answers yet.
-	IsHeldBack bool
+	IsOverCallerShare bool
 	Body       io.ReadCloser
 	// Trailer is filled in by the time Body returns io.EOF.
 	Trailer http.Header
