--- a/request.go
+++ b/request.go
@@ -55,7 +55,7 @@
 	// IsOverCallerShare reports whether the body is not held as a whole only because its caller has
 	// not taken earlier answers yet.
 	IsOverCallerShare bool
-	Body       io.ReadCloser
+	Body              io.ReadCloser
 	// Trailer is filled in by the time Body returns io.EOF.
 	Trailer http.Header
 }
