--- a/hoster/tenant_test.go
+++ b/hoster/tenant_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/router"
 )
 
@@ -45,7 +46,7 @@
 		s.keys = append(s.keys, header)
 		s.mu.Unlock()
 	}
-	_, _ = fmt.Fprint(w, strings.Join(r.Header.Values("X-Tenant"), ","))
+	_, _ = fmt.Fprint(w, strings.Join(r.Header.Values(wire.HeaderTenant), ","))
 }
 
 func (s *tellTenant) requireNoKey(t *testing.T) {
@@ -62,8 +63,8 @@
 	require.NoError(t, err)
 	r.Host = "a.example"
 	r.Header.Set("X-Attempt-Id", "id-"+path)
-	r.Header.Set("X-Credential", secret+tenant)
-	r.Header.Set("X-Tenant", "forged")
+	r.Header.Set(wire.HeaderCredential, secret+tenant)
+	r.Header.Set(wire.HeaderTenant, "forged")
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err.Error()
