--- a/hoster/tenant_test.go
+++ b/hoster/tenant_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/platform/wire"
+	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/router"
 )
 
