fix: only an instance that has run before asks many others since when they run

Cause: each start in a deployment with tenants probed up to 64 others four times, also the first start of a fleet. Change: an instance asks only if the first list from the store names its own earlier entry: otherwise the answers can't make it hold early anyway. The list wakes the prober.

--- a/apportioner/restart.go
+++ b/apportioner/restart.go
@@ -40,6 +40,14 @@
 	r.hasList, r.isPossible, r.others = true, isSelfEarlier, others
 }
 
+// IsPossible reports whether answers of other instances may still show that the whole fleet has
+// started anew.
+func (r *Restart) IsPossible() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isPossible && !r.hasOld && !r.isDone
+}
+
 // ObserveUptime records for how long another instance has run, as it has answered.
 func (r *Restart) ObserveUptime(id string, uptime time.Duration) {
 	r.mu.Lock()
--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -46,6 +46,7 @@
 				r.ObserveList(test.others, test.isSelfEarlier)
 				r.ObserveList(0, true)
 			}
+			require.Equal(t, test.isSelfEarlier && !test.hasNo && test.old == 0 && !test.isOutdated, r.IsPossible(), "others are asked")
 			require.Equal(t, test.isFound, r.IsFound(test.age))
 			require.False(t, r.IsFound(test.age), "it is reported once")
 		})
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -207,7 +207,7 @@
 		Probe:             h.requestState,
 		OnDead:            h.removeDead,
 		Domain:            config.Self.FailureDomain,
-		ProbesMoreAtStart: h.hasTenants,
+		ProbesMoreAtStart: h.asksForRestart,
 		OnChange:          h.roster.publish,
 		Log:               config.Log,
 	})
--- a/hoster/restart.go
+++ b/hoster/restart.go
@@ -25,6 +25,9 @@
 	others, isEarlier := t.h.readFirstList(change.Items)
 	t.h.restart.ObserveList(others, isEarlier && change.IsWhole && !isLoaded)
 	t.h.resumeIfRestarted()
+	if t.h.asksForRestart() {
+		t.h.prober.Wake()
+	}
 	return nil
 }
 
@@ -67,6 +70,10 @@
 	return table != nil && table.HasTenants()
 }
 
+// asksForRestart reports whether more instances are asked since when they run: tenants may have
+// quotas, and this instance has run before.
+func (h *Hoster) asksForRestart() bool { return h.hasTenants() && h.restart.IsPossible() }
+
 // resumeIfRestarted lets this instance hold its parts of quotas if the whole fleet has
 // started anew.
 func (h *Hoster) resumeIfRestarted() {
