--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -150,7 +150,11 @@
 		status, body, _ := e.get(t, "/x/slow")
 		slow <- result{status, body}
 	}()
-	<-began
+	select {
+	case <-began:
+	case early := <-slow:
+		require.Fail(t, "the request does not reach the server", "%d %s\n%s", early.status, early.body, e.log)
+	}
 	e.stop()
 	eventually(t, "not ready", func() bool { return !e.isReady(t) })
 	status, body, _ := e.get(t, "/x/more")
