--- /dev/null
+++ b/review/harness2/upstream.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// run is a request that an upstream has begun to run.
+type run struct {
+	id, upstream, path string
+	body               []byte
+	at                 time.Time
+}
+
+// upstream is a stand-in for a server of a service. Each start is a new lifetime with a new id, at
+// the same address.
+type upstream struct {
+	rig                 *rig
+	name, service, zone string
+	address             string
+	slots               int
+	work                time.Duration
+	// onRun is called for each request that begins to run. The upstream crashes if it returns true.
+	onRun func(x run) (crashes bool)
+
+	mu       sync.Mutex
+	lifetime int
+	id       string
+	listener net.Listener
+	conns    map[net.Conn]bool
+	running  int
+	waiting  int
+	free     chan struct{}
+	coldTill time.Time
+}
+
+// addUpstream starts an upstream and registers it.
+func (r *rig) addUpstream(service, zone string, slots int, work time.Duration, onRun func(x run) bool) (*upstream, error) {
+	n := len(r.upstreams) + 1
+	u := &upstream{rig: r, name: fmt.Sprintf("u%02d", n), service: service, zone: zone, slots: slots, work: work, onRun: onRun}
+	u.address = fmt.Sprintf("%s.%d:0", r.prefix, 100+n)
+	r.upstreams = append(r.upstreams, u)
+	return u, u.start(0)
+}
+
+// start begins a lifetime that is cold for a while.
+func (u *upstream) start(cold time.Duration) error {
+	listener, err := net.Listen("tcp", u.address)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	u.lifetime++
+	u.id = fmt.Sprintf("i-%s-%d", u.name, u.lifetime)
+	u.address = listener.Addr().String()
+	u.listener, u.conns, u.running, u.waiting = listener, map[net.Conn]bool{}, 0, 0
+	u.free = make(chan struct{}, u.slots)
+	u.coldTill = time.Now().Add(cold)
+	life := &lifetime{upstream: u, id: u.id, free: u.free}
+	u.mu.Unlock()
+	server := &http.Server{Handler: life, ConnState: u.track}
+	go func() { _ = server.Serve(listener) }()
+	return u.register(life.id, "ready", cold)
+}
+
+// register writes the entry of a lifetime.
+func (u *upstream) register(id, state string, cold time.Duration) error {
+	return u.rig.store.Put("servers", id, map[string]any{
+		"address": u.address, "born": time.Now().UnixMilli(),
+		"info":   map[string]any{"service": u.service, "zone": u.zone, "version": "v1", "slots": u.slots},
+		"status": map[string]any{"state": state, "seq": 1, "warmup-left": milliseconds(cold)},
+	})
+}
+
+func (u *upstream) track(conn net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		u.conns[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(u.conns, conn)
+	}
+}
+
+// crash ends a lifetime: its address refuses connections, the open ones are reset, and its entry
+// is removed after three check-in intervals of silence. The upstream is back after downFor.
+func (u *upstream) crash(downFor time.Duration) {
+	u.mu.Lock()
+	_ = u.listener.Close()
+	for conn := range u.conns {
+		reset(conn)
+	}
+	id := u.id
+	u.mu.Unlock()
+	time.AfterFunc(3*1500*time.Millisecond, func() { u.rig.store.Delete("servers", id) })
+	time.AfterFunc(downFor, func() {
+		if err := u.start(warmup); err != nil {
+			u.rig.say("%s does not start again: %v", u.name, err)
+		}
+	})
+}
+
+// lifetime serves the requests of one lifetime.
+type lifetime struct {
+	upstream *upstream
+	id       string
+	free     chan struct{}
+}
+
+func (l *lifetime) report(header http.Header) {
+	u := l.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", u.running, u.waiting, u.slots))
+}
+
+// ServeHTTP implements http.Handler.
+func (l *lifetime) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u := l.upstream
+	id := r.Header.Get("X-Attempt-Id")
+	if id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != l.id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Instance-Id", l.id)
+		u.mu.Lock()
+		cold := time.Until(u.coldTill)
+		u.mu.Unlock()
+		if cold > 0 {
+			w.Header().Set("X-Warmup-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+		}
+		l.report(w.Header())
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	ctx, cancel := r.Context(), context.CancelFunc(func() {})
+	if left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err == nil {
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(left)*time.Millisecond)
+	}
+	defer cancel()
+	if !l.acquire(ctx) {
+		l.report(w.Header())
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer l.release()
+	if u.onRun(run{id: id, upstream: l.id, path: r.URL.Path, body: body, at: time.Now()}) {
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(u.work):
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+	answer := answerTo(id)
+	l.report(w.Header())
+	w.Header().Set("X-Response-Signature", l.id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = w.Write(answer)
+}
+
+// answerTo is the body of the answer to an attempt.
+func answerTo(id string) []byte { return fmt.Appendf(nil, "%x\n", sha256.Sum256([]byte(id))) }
+
+// acquire waits for a slot. It reports false if the queue is full or the time is over.
+func (l *lifetime) acquire(ctx context.Context) bool {
+	u := l.upstream
+	u.mu.Lock()
+	if u.waiting >= 3*u.slots {
+		u.mu.Unlock()
+		return false
+	}
+	u.waiting++
+	u.mu.Unlock()
+	isFree := false
+	select {
+	case l.free <- struct{}{}:
+		isFree = true
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.waiting--
+	if isFree {
+		u.running++
+	}
+	return isFree
+}
+
+func (l *lifetime) release() {
+	<-l.free
+	l.upstream.mu.Lock()
+	defer l.upstream.mu.Unlock()
+	l.upstream.running--
+}
