review: scripted case of uploads to upstreams that read slowly

TCP_USER_TIMEOUT of 1.5 s ends a connection to an upstream whose window stays closed, though the upstream is at work.

--- a/review/harness2/rig.go
+++ b/review/harness2/rig.go
@@ -56,6 +56,14 @@
 	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// at returns a time as seconds of the record, or 0.
+func (r *record) at(t time.Time) float64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(r.begun).Seconds()
+}
+
 // rig is the store, the upstreams and the entries of a case.
 type rig struct {
 	*record
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -29,6 +29,13 @@
 	work                time.Duration
 	// onRun is called for each request that begins to run. The upstream crashes if it returns true.
 	onRun func(x run) (crashes bool)
+	// readPause, if set, is how long the upstream reads nothing after the first piece of a body. It
+	// then reads in its slot, while it works.
+	readPause time.Duration
+	// onBegin and onEnd, if set, are called when the upstream begins to work on a request, and when
+	// it has finished or its connection was broken off.
+	onBegin func(id string)
+	onEnd   func(id string, isBroken bool)
 
 	mu       sync.Mutex
 	lifetime int
@@ -145,10 +152,6 @@
 		l.report(w.Header())
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
 	ctx, cancel := r.Context(), context.CancelFunc(func() {})
 	if left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err == nil {
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(left)*time.Millisecond)
@@ -161,6 +164,15 @@
 		return
 	}
 	defer l.release()
+	isBroken := true
+	if u.onBegin != nil {
+		u.onBegin(id)
+		defer func() { u.onEnd(id, isBroken) }()
+	}
+	body, err := u.readBody(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	if u.onRun(run{id: id, upstream: l.id, path: r.URL.Path, body: body, at: time.Now()}) {
 		panic(http.ErrAbortHandler)
 	}
@@ -174,6 +186,22 @@
 	w.Header().Set("X-Response-Signature", l.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = w.Write(answer)
+	isBroken = false
+}
+
+// readBody reads a body. An upstream that reads slowly pauses after the first piece.
+func (u *upstream) readBody(body io.Reader) ([]byte, error) {
+	if u.readPause <= 0 {
+		return io.ReadAll(body)
+	}
+	piece := make([]byte, pieceBytes)
+	n, err := io.ReadFull(body, piece)
+	if err != nil {
+		return piece[:n], nil
+	}
+	time.Sleep(u.readPause)
+	rest, err := io.ReadAll(body)
+	return append(piece, rest...), err
 }
 
 // answerTo is the body of the answer to an attempt.
