review: scripted case of pipelining clients that read slowly at a planned stop

The connection is closed 500 ms after the last answer was written, though the client still reads; a further request of the client then resets it.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,6 +28,7 @@
 	"poison-restart": poisonRestart,
 	"poison-upload":  poisonUpload,
 	"slow-reader":    slowReader,
+	"slow-answer":    slowAnswer,
 }
 
 func main() {
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -29,6 +30,8 @@
 	work                time.Duration
 	// onRun is called for each request that begins to run. The upstream crashes if it returns true.
 	onRun func(x run) (crashes bool)
+	// answerBytes is the length of the answers, if it is set.
+	answerBytes int
 	// readPause, if set, is how long the upstream reads nothing after the first piece of a body. It
 	// then reads in its slot, while it works.
 	readPause time.Duration
@@ -182,6 +185,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := answerTo(id)
+	if u.answerBytes > 0 {
+		answer = bytes.Repeat(answer, 1+u.answerBytes/len(answer))
+	}
 	l.report(w.Header())
 	w.Header().Set("X-Response-Signature", l.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
