--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(r *rig, hasTrouble bool) (outcome, error){
 	"poison-restart": poisonRestart,
 	"poison-upload":  poisonUpload,
+	"poison-answer":  poisonAnswer,
 	"slow-reader":    slowReader,
 	"slow-answer":    slowAnswer,
 }
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -28,8 +28,10 @@
 	address             string
 	slots               int
 	work                time.Duration
-	// onRun is called for each request that begins to run. The upstream crashes if it returns true.
-	onRun func(x run) (crashes bool)
+	// onRun is called for each request that begins to run. The upstream crashes if it returns true,
+	// before it answers or, if crashesLate is set, while it sends its answer.
+	onRun       func(x run) (crashes bool)
+	crashesLate bool
 	// answerBytes is the length of the answers, if it is set.
 	answerBytes int
 	// readPause, if set, is how long the upstream reads nothing after the first piece of a body. It
@@ -177,6 +179,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	if u.onRun(run{id: id, upstream: l.id, path: r.URL.Path, body: body, at: time.Now()}) {
+		if u.crashesLate {
+			l.beginAnswer(w)
+		}
+		u.crash(downFor)
 		panic(http.ErrAbortHandler)
 	}
 	select {
@@ -195,6 +201,16 @@
 	isBroken = false
 }
 
+// beginAnswer sends the first part of an answer.
+func (l *lifetime) beginAnswer(w http.ResponseWriter) {
+	const length, part = 90 << 10, 8 << 10
+	w.Header().Set("X-Response-Signature", l.id)
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	_, _ = w.Write(make([]byte, part))
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(50 * time.Millisecond)
+}
+
 // readBody reads a body. An upstream that reads slowly pauses after the first piece.
 func (u *upstream) readBody(body io.Reader) ([]byte, error) {
 	if u.readPause <= 0 {
