--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -29,6 +29,7 @@
 	"poison-upload":  poisonUpload,
 	"poison-answer":  poisonAnswer,
 	"slow-reader":    slowReader,
+	"slow-drain":     slowDrain,
 	"slow-answer":    slowAnswer,
 }
 
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,8 +33,10 @@
 	// before it answers or, if crashesLate is set, while it sends its answer.
 	onRun       func(x run) (crashes bool)
 	crashesLate bool
-	// answerBytes is the length of the answers, if it is set.
+	// answerBytes is the length of the answers, if it is set; if largePath is set, of those for
+	// that path only.
 	answerBytes int
+	largePath   string
 	// readPause, if set, is how long the upstream reads nothing after the first piece of a body. It
 	// then reads in its slot, while it works.
 	readPause time.Duration
@@ -42,6 +45,10 @@
 	onBegin func(id string)
 	onEnd   func(id string, isBroken bool)
 
+	born int64
+	seq  int
+	// sending is the number of answers that are being sent.
+	sending  atomic.Int64
 	mu       sync.Mutex
 	lifetime int
 	id       string
@@ -84,11 +91,20 @@
 
 // register writes the entry of a lifetime.
 func (u *upstream) register(id, state string, cold time.Duration) error {
-	return u.rig.store.Put("servers", id, map[string]any{
-		"address": u.address, "born": time.Now().UnixMilli(),
+	u.born, u.seq = time.Now().UnixMilli(), 0
+	entry := u.entryOf(state)
+	entry["status"].(map[string]any)["warmup-left"] = milliseconds(cold)
+	return u.rig.store.Put("servers", id, entry)
+}
+
+// entryOf returns the entry of the current lifetime in a state.
+func (u *upstream) entryOf(state string) map[string]any {
+	u.seq++
+	return map[string]any{
+		"address": u.address, "born": u.born,
 		"info":   map[string]any{"service": u.service, "zone": u.zone, "version": "v1", "slots": u.slots},
-		"status": map[string]any{"state": state, "seq": 1, "warmup-left": milliseconds(cold)},
-	})
+		"status": map[string]any{"state": state, "seq": u.seq, "warmup-left": "0ms"},
+	}
 }
 
 func (u *upstream) track(conn net.Conn, state http.ConnState) {
@@ -168,7 +184,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer l.release()
+	var once sync.Once
+	release := func() { once.Do(l.release) }
+	defer release()
 	isBroken := true
 	if u.onBegin != nil {
 		u.onBegin(id)
@@ -191,13 +209,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := answerTo(id)
-	if u.answerBytes > 0 {
+	if u.answerBytes > 0 && (u.largePath == "" || u.largePath == r.URL.Path) {
 		answer = bytes.Repeat(answer, 1+u.answerBytes/len(answer))
 	}
+	// The work is done; sending the answer takes no slot.
+	release()
 	l.report(w.Header())
 	w.Header().Set("X-Response-Signature", l.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	u.sending.Add(1)
 	_, _ = w.Write(answer)
+	u.sending.Add(-1)
 	isBroken = false
 }
 
