--- a/review/harness2/drain.go
+++ b/review/harness2/drain.go
@@ -24,22 +24,6 @@
 	return false
 }
 
-// busiest returns the upstream that has got most requests for a path.
-func (a *arrivals) busiest(path string) string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	counts, best := map[string]int{}, ""
-	for _, x := range a.seen {
-		if x.path != path {
-			continue
-		}
-		if counts[x.upstream]++; counts[x.upstream] > counts[best] {
-			best = x.upstream
-		}
-	}
-	return best
-}
-
 // slowDrain: an upstream leaves as planned while clients read large answers slowly.
 func slowDrain(r *rig, hasTrouble bool) (outcome, error) {
 	const (
@@ -175,16 +159,6 @@
 	return r.upstreams[2]
 }
 
-// find returns the upstream with an id.
-func (r *rig) find(id string) *upstream {
-	for _, u := range r.upstreams {
-		if u.id == id {
-			return u
-		}
-	}
-	return nil
-}
-
 // download downloads a large answer at a pace.
 func (r *rig) download(e *entry, id string, pace int, timeout time.Duration) error {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -29,6 +29,10 @@
 	"poison-upload":  poisonUpload,
 	"poison-answer":  poisonAnswer,
 	"slow-reader":    slowReader,
+	"directory":      directoryNames,
+	"gone-many":      goneMany,
+	"gone-behind":    goneBehindLong,
+	"first-long":     firstLong,
 	"slow-drain":     slowDrain,
 	"slow-answer":    slowAnswer,
 }
--- a/review/harness2/rig.go
+++ b/review/harness2/rig.go
@@ -74,7 +74,6 @@
 	entries   []*entry
 	upstreams []*upstream
 	client    *http.Client
-	nextPort  int
 }
 
 // newRig starts a store. All addresses are loopback addresses of a free range.
@@ -146,6 +145,7 @@
 type entry struct {
 	rig      *rig
 	name, ip string
+	zone     string
 	settings string
 	command  *exec.Cmd
 	exited   chan struct{}
@@ -163,7 +163,7 @@
 // addEntry adds a machine in a zone. Its process is not started yet.
 func (r *rig) addEntry(zone, storeAddress string, isBootstrap bool) (*entry, error) {
 	n := len(r.entries) + 1
-	e := &entry{rig: r, name: fmt.Sprintf("edge-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", r.prefix, n)}
+	e := &entry{rig: r, zone: zone, name: fmt.Sprintf("edge-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", r.prefix, n)}
 	var seeds []string
 	for i := 1; i <= 3; i++ {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", r.prefix, i, controlPort))
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -37,6 +37,8 @@
 	// that path only.
 	answerBytes int
 	largePath   string
+	// breaksOff, if set, says whether a long answer is broken off near its end.
+	breaksOff func() bool
 	// readPause, if set, is how long the upstream reads nothing after the first piece of a body. It
 	// then reads in its slot, while it works.
 	readPause time.Duration
@@ -218,6 +220,10 @@
 	w.Header().Set("X-Response-Signature", l.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	u.sending.Add(1)
+	if len(answer) >= 1<<20 && u.breaksOff != nil && u.breaksOff() {
+		_, _ = w.Write(answer[:len(answer)*9/10])
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = w.Write(answer)
 	u.sending.Add(-1)
 	isBroken = false
