fix: an answer whose connection was reset is not taken for whole

Cause: the kernel reports a reset once, to whoever asks first. The write of the upload took it; the read of the answer then found the end of the stream, which ends an answer without a length. Of uploads that the server had read whole 0 of 200 were taken for whole, of others 130 of 200. A time-out of the upload (TCP_USER_TIMEOUT) did the same. Change: discerner.Conn, under all connections of dispatcher, remembers the first error of a write and returns it from a read that finds the end of the stream. It ends a write in progress before, because that may have been told and not have returned. A broken pipe is left out: the kernel gives it for a reset after the end of the stream. Why it works: the error that makes the difference is lost to the read only if a write took it, and the read now waits for that write. Measured: before, TestAnAnswerThatIsResetIsNotWhole failed with 17 to 19 of 25, and TestAnAnswerThatIsClosedUponUnreadBytesIsNotWhole and TestAnAnswerWhoseUploadTimesOutIsNotWhole failed; all pass now, and fail again with the connections of dispatcher as they were. TestAnAnswerThatEndsInOrderIsWhole passed before and after; without the exception for a broken pipe it fails. BenchmarkSend: 49,800 to 51,000 ns before, 46,100 to 47,700 after (noise).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pollencrank/pollencrank"
+	"github.com/pollencrank/pollencrank/discerner"
 )
 
 // Headers between the system and backend servers.
@@ -225,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, openedAt: time.Now()}, nil
+	return &countedConn{Conn: discerner.New(conn), openedAt: time.Now()}, nil
 }
 
 // Send sends a request to a server and returns its answer. It returns a
