test: the soak plays servers that reset the answers of uploads

Cause: no run with real processes had uploads, or servers that answer early and break off. The proxies of the soak turned a server's reset into an end in order, by the same loss of the error, and took several MB of an upload.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pollencrank/pollencrank/platform/imitator"
@@ -23,6 +24,10 @@
 	// as it works, regardless of look-ups.
 	stickyShare = 0.4
 	dialTimeout = time.Second
+	// uploadShare is the share of orders with a long body, if there are any, and uploadBytes
+	// the length of such a body: more than the kernel holds of what is not read.
+	uploadShare = 0.3
+	uploadBytes = 6_000_000
 )
 
 // caller sends requests sequentially.
@@ -145,6 +150,7 @@
 	switch c.random.IntN(5) {
 	case 0:
 		a.Path, a.IsNonIdempotent = "/order/", true
+		a.UploadBytes = c.nextUploadBytes()
 	case 1:
 		a.Path = "/urgent/"
 	case 2:
@@ -160,3 +166,13 @@
 	}
 	return a
 }
+
+// nextUploadBytes returns the length of the next order's body, or zero for a short one. Without
+// long uploads nothing is drawn, so that each seed draws what it has drawn before.
+func (c *caller) nextUploadBytes() int64 {
+	hasUploads := slices.Contains(c.soak.config.Only, answersResetKind)
+	if hasUploads && c.random.Float64() < uploadShare {
+		return uploadBytes
+	}
+	return 0
+}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pollencrank/pollencrank/discerner"
 )
 
 // linkState is the fault that a proxy applies to its connections.
@@ -19,6 +21,9 @@
 
 const (
 	copyBytes = 32 << 10
+	// queueBytes is the size of the kernel's queues towards the target, so that a target that
+	// does not read blocks the sender.
+	queueBytes = 64 << 10
 	// holdPollInterval is the interval at which held data checks whether the link is
 	// restored.
 	holdPollInterval = 20 * time.Millisecond
@@ -124,8 +129,8 @@
 
 // reset closes a connection with a reset.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
 	}
 	_ = conn.Close()
 }
@@ -168,11 +173,14 @@
 
 func (p *proxy) serve(conn net.Conn) {
 	owner := p.ownerOf(conn)
-	upstream, err := net.Dial("tcp", p.target)
+	dialed, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
+	_ = conn.(*net.TCPConn).SetReadBuffer(queueBytes)
+	_ = dialed.(*net.TCPConn).SetWriteBuffer(queueBytes)
+	upstream := discerner.New(dialed)
 	p.track(owner, conn, upstream)
 	var ended sync.WaitGroup
 	ended.Go(func() { p.copy(upstream, conn, func(s linkState) bool { return s.HoldsForward }) })
@@ -198,7 +206,7 @@
 	}
 }
 
-// copy forwards the data of one direction, and the end of its stream.
+// copy forwards the data of one direction, and the end of its stream or a reset.
 func (p *proxy) copy(to, from net.Conn, isHeld func(linkState) bool) {
 	buffer := make([]byte, copyBytes)
 	for {
@@ -207,13 +215,13 @@
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			if tcp, ok := to.(*net.TCPConn); ok {
-				_ = tcp.CloseWrite()
+			if half, ok := to.(interface{ CloseWrite() error }); ok {
+				_ = half.CloseWrite()
 			}
 			return
 		}
 		if err != nil {
-			_ = to.Close()
+			reset(to)
 			return
 		}
 	}
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -131,10 +131,16 @@
 	return slices.DeleteFunc(all, func(k faultKind) bool { return !slices.Contains(s.config.Only, k.name) })
 }
 
+// answersResetKind is the kind of fault that needs callers with long uploads.
+const answersResetKind = "answersReset"
+
 // namedKinds returns the kinds that are injected only if they are named: with them among the
 // others, each seed would draw other faults than it has drawn before.
 func (s *soak) namedKinds() []faultKind {
-	return []faultKind{{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})}}
+	return []faultKind{
+		{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})},
+		{answersResetKind, s.misbehave(imitator.Misbehaviour{Reset: 0.7})},
+	}
 }
 
 // Shares of runs in which a kind of fault occurs. Runs with few kinds reveal failures
