test: the soak plays servers whose answers have malformed field names

Cause: no run with real processes had such answers. Change: kind malformedNames, only by name: signed answers with more than the server's body and one of eight malformed names.

--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -139,6 +139,7 @@
 func (s *soak) namedKinds() []faultKind {
 	return []faultKind{
 		{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})},
+		{"malformedNames", s.misbehave(imitator.Misbehaviour{Misnamed: 0.3})},
 		{answersResetKind, s.misbehave(imitator.Misbehaviour{Reset: 0.7})},
 	}
 }
