fix: an answer that breaks off does not look whole to a caller of HTTP/1.0

Cause: an aborted answer was ended by closing the connection in order. For HTTP/1.0 that marks the end of the answer. Found while what an entry writes was searched for the cause of the reset answers. Evidence: a handler that wrote "part" and aborted gave an HTTP/1.0 caller "part" and the end of the stream, pipeliner and receiver, plain and TLS; so did Server.Close of pipeliner. Change: pipeliner resets such a connection whatever closes it, from the head until the last byte is written; receiver resets an aborted answer to HTTP/1.0, over TLS without the alert that ends the stream. Why it works: a reset is an error to the caller's read, and the end in order is left to complete answers. Measured: TestAnAnswerThatBreaksOffIsNotWhole (pipeliner, receiver) and TestAnAnswerOfAClosedServerIsNotWhole failed before for HTTP/1.0 and pass; they fail again without each fix. TestAnAnswerThatEndsWithItsConnectionIsWhole passed before; it fails if the end in order is not restored. Open: net/http's Server.Close and the end of the process, in receiver.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -289,6 +289,17 @@
 // interruptRead ends the wait for a further request by a read deadline in the past.
 func (c *conn) interruptRead() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
 
+// resetOnClose sets whether the connection is reset when it is closed, also if the process ends.
+func (c *conn) resetOnClose(isOn bool) {
+	seconds := -1
+	if isOn {
+		seconds = 0
+	}
+	if lingerer, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(seconds)
+	}
+}
+
 // abort closes the connection immediately, without waiting for answers.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -158,8 +158,10 @@
 		e.hold(min(e.contentLength, maxCountedBytes))
 	}
 	e.awaitTurn()
-	if e.hasBody && e.contentLength < 0 && !e.request.ProtoAtLeast(1, 1) {
+	if e.endsWithConnection() {
 		wantsClose = true
+		// Whatever ends the connection before the answer is complete must not look like its end.
+		e.conn.resetOnClose(true)
 	}
 	isLast := e.conn.isLastAnswer(e, wantsClose)
 	e.header.Del("Connection")
@@ -205,6 +207,11 @@
 	}
 }
 
+// endsWithConnection reports whether the end of the answer is marked by that of the connection.
+func (e *exchange) endsWithConnection() bool {
+	return e.hasBody && e.contentLength < 0 && e.chunks == nil
+}
+
 // Write implements io.Writer.
 func (e *exchange) Write(p []byte) (int, error) {
 	if !e.isHeaderSent {
@@ -239,6 +246,10 @@
 	err := e.endChunks()
 	if flushErr := e.conn.writer.Flush(); err != nil || flushErr != nil {
 		e.conn.abort()
+		return
+	}
+	if e.endsWithConnection() {
+		e.conn.resetOnClose(false)
 	}
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -117,7 +117,7 @@
 // NewServer returns the HTTP server for callers.
 func NewServer(handler http.Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           resetAborted(handler),
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
