fix: nothing follows an answer that ends with its connection

Cause: the connection is closed after such an answer only if no other request has been begun; overlapping ones had been. Evidence: the body "/first" arrived as "/firstHTTP/1.1 200 OK ... /second". Change: requests of HTTP/1.0 run alone on their connection. Why it works: no other request is begun until the answer has ended, and none after one that ends with the connection. Measured: TestNothingFollowsAnAnswerThatEndsWithItsConnection failed before and passes.

--- a/pipeliner/broken_test.go
+++ b/pipeliner/broken_test.go
@@ -87,3 +87,20 @@
 	require.NoError(t, err)
 	require.Equal(t, body, string(got))
 }
+
+// Guards against an answer that ends with its connection and is followed by the next one, which
+// its caller takes for a part of it.
+func TestNothingFollowsAnAnswerThatEndsWithItsConnection(t *testing.T) {
+	f := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }))
+	conn, err := net.Dial("tcp", f.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	const head = " HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+	_, err = io.WriteString(conn, "GET /first"+head+"GET /second"+head)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "/first", string(body))
+}
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -186,7 +186,8 @@
 		return nil, false
 	}
 	request = request.WithContext(c.ctx)
-	runsAlone := c.server.config.RunsAlone(request)
+	// The answer to a caller of HTTP/1.0 may end with the connection.
+	runsAlone := !request.ProtoAtLeast(1, 1) || c.server.config.RunsAlone(request)
 	size := headerBytes + min(max(0, request.ContentLength), maxCountedBytes)
 	isFull := c.held.Load()+size > c.server.config.MaxHeldBytes
 	if runsAlone || c.lastRunsAlone || isFull || !c.server.config.MayOverlap(request) {
