--- a/discerner/discerner.go
+++ b/discerner/discerner.go
@@ -35,6 +35,15 @@
 	writeErr error
 }
 
+// Reset closes a connection so that its other end can tell it from one that has been ended in
+// order. What is not sent yet is lost.
+func Reset(conn net.Conn) error {
+	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+	return conn.Close()
+}
+
 // New returns a Conn that reads from conn and writes to it.
 func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -10,47 +9,10 @@
 	"github.com/pollencrank/pollencrank"
 )
 
-// countedConn counts the bytes that are passed to Write of the connection.
-type countedConn struct {
-	net.Conn
-	openedAt    time.Time
-	written     atomic.Int64
-	isAbandoned atomic.Bool
-	// user is the attempt whose request has not been answered to its end, if any.
-	user atomic.Pointer[attempt]
-}
-
-// Write implements net.Conn. It counts the bytes before it writes them, because a
-// failed write may have sent some of them.
-func (c *countedConn) Write(p []byte) (int, error) {
-	if c.isAbandoned.Load() {
-		return 0, net.ErrClosed
-	}
-	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
-// abandon closes the connection. A request that the transport has assigned to it and not
-// begun to write fails without a byte written.
-func (c *countedConn) abandon() {
-	c.isAbandoned.Store(true)
-	_ = c.Close()
-}
-
-// Close implements net.Conn. If a request has not been answered to its end, it resets the
-// connection: the kernel would otherwise go on sending what it still holds of a request that
-// has been given up on, and the server would get it after any time.
-func (c *countedConn) Close() error {
-	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.user.Load() != nil {
-		_ = lingerer.SetLinger(0)
-	}
-	return c.Conn.Close()
-}
-
 // attempt records the connection of one request and how many bytes had been written to
 // that connection before the request.
 type attempt struct {
-	conn          atomic.Pointer[countedConn]
+	conn          atomic.Pointer[serverConn]
 	writtenBefore atomic.Int64
 	isWritten     atomic.Bool
 }
@@ -61,7 +23,7 @@
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countedConn)
+	conn, ok := info.Conn.(*serverConn)
 	if !ok {
 		return
 	}
--- a/expirer/expirer.go
+++ b/expirer/expirer.go
@@ -18,6 +18,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/pollencrank/pollencrank/discerner"
 )
 
 const (
@@ -98,10 +100,7 @@
 
 // expire resets the connection: the kernel would otherwise hold what is not taken.
 func (c *Conn) expire() error {
-	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingerer.SetLinger(0)
-	}
-	_ = c.Close()
+	_ = discerner.Reset(c.Conn)
 	if c.config.OnExpire != nil {
 		c.config.OnExpire(c.RemoteAddr())
 	}
--- a/receiver/reset.go
+++ b/receiver/reset.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/tls"
 	"net/http"
+
+	"github.com/pollencrank/pollencrank/discerner"
 )
 
 // resetAborted returns a handler that resets the connection of an HTTP/1.0 caller if handler
@@ -32,8 +34,5 @@
 		// Its Close would send the alert that ends the stream in order.
 		conn = secured.NetConn()
 	}
-	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingerer.SetLinger(0)
-	}
-	_ = conn.Close()
+	_ = discerner.Reset(conn)
 }
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -122,19 +122,11 @@
 	defer p.mu.Unlock()
 	for conn, by := range p.connections {
 		if by.instance == owner {
-			reset(conn)
+			_ = discerner.Reset(conn)
 		}
 	}
 }
 
-// reset closes a connection with a reset.
-func reset(conn net.Conn) {
-	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingerer.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 func (p *proxy) run() {
@@ -161,7 +153,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.connections {
-		reset(conn)
+		_ = discerner.Reset(conn)
 	}
 	clear(p.connections)
 }
@@ -221,7 +213,7 @@
 			return
 		}
 		if err != nil {
-			reset(to)
+			_ = discerner.Reset(to)
 			return
 		}
 	}
