test: tests of answers that end in order say so, and need no large queues

Cause: TestAnAnswerThatEndsInOrderIsWhole failed once in a run of all tests. Its server ended the connection behind an answer with a length without saying so; the next upload was given that connection, which no sender can know. The answers are announced as the last ones now, as HTTP asks. TestAnAnswerThatEndsWithItsConnectionIsWhole relied on the size of the kernel's queues and sets them itself now.

--- a/dispatcher/broken_test.go
+++ b/dispatcher/broken_test.go
@@ -161,7 +161,9 @@
 	} {
 		for framing, whole := range framings {
 			t.Run(framing+", "+name, func(t *testing.T) {
-				target := breakUploads(t, whole, end)
+				// Without the announcement the next upload could be given the same connection.
+				announced := strings.Replace(whole, "\r\n", "\r\nConnection: close\r\n", 1)
+				target := breakUploads(t, announced, end)
 				d := dispatcher.New(dispatcher.Config{})
 				defer d.Close()
 				for range brokenUploads {
--- a/pipeliner/broken_test.go
+++ b/pipeliner/broken_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,21 +62,30 @@
 // Guards against an answer that ends with its connection and is reset after its last byte, though
 // its caller has not read it yet.
 func TestAnAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
-	body := strings.Repeat("0123456789abcdef", 64<<10)
+	const queueBytes, smallBytes = 256 << 10, 4 << 10
+	body := strings.Repeat("0123456789abcdef", 4<<10)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	closed := make(chan struct{})
 	server := pipeliner.New(pipeliner.Config{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateClosed {
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				_ = conn.(*net.TCPConn).SetWriteBuffer(queueBytes)
+			case http.StateClosed:
 				close(closed)
 			}
 		},
 	})
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
-	conn, err := net.Dial("tcp", listener.Addr().String())
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBytes)
+		})
+	}}
+	conn, err := dialer.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
 	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
