--- a/discerner/discerner.go
+++ b/discerner/discerner.go
@@ -35,15 +35,6 @@
 	writeErr error
 }
 
-// Reset closes a connection so that its other end can tell it from one that has been ended in
-// order. What is not sent yet is lost.
-func Reset(conn net.Conn) error {
-	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingerer.SetLinger(0)
-	}
-	return conn.Close()
-}
-
 // New returns a Conn that reads from conn and writes to it.
 func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
@@ -77,15 +68,15 @@
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if saysNothing(c.writeErr) {
+	if provesNothing(c.writeErr) {
 		return nil
 	}
 	return c.writeErr
 }
 
-// saysNothing reports whether the other end may have ended its stream in order although a write
+// provesNothing reports whether the other end may have ended its stream in order although a write
 // failed with err: it reset the connection after that, or the write was ended by this process.
-func saysNothing(err error) bool {
+func provesNothing(err error) bool {
 	return err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
 }
 
@@ -106,3 +97,12 @@
 	}
 	return lingerer.SetLinger(seconds)
 }
+
+// Reset closes a connection so that its other end can tell it from one that has been ended in
+// order. What is not sent yet is lost.
+func Reset(conn net.Conn) error {
+	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+	return conn.Close()
+}
--- a/persister/http.go
+++ b/persister/http.go
@@ -119,14 +119,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("list %s: %w", prefix, err)
 	}
-	response, err := s.client.Do(request)
+	response, err := s.send(request)
 	if err != nil {
 		return nil, &UnavailableError{Operation: "list " + prefix, Cause: err}
 	}
 	defer response.Body.Close()
-	if err := pollencrank.CheckFieldNames(response.Header); err != nil {
-		return nil, &UnavailableError{Operation: "list " + prefix, Cause: err}
-	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &UnavailableError{Operation: "list " + prefix, Cause: fmt.Errorf("status %s", response.Status)}
 	}
@@ -137,6 +134,20 @@
 	return objects, nil
 }
 
+// send sends a request and returns its answer, or an error if the field names of the answer are
+// malformed.
+func (s *HTTP) send(request *http.Request) (*http.Response, error) {
+	response, err := s.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := pollencrank.CheckFieldNames(response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 func (s *HTTP) call(ctx context.Context, method, key string, value []byte, header http.Header) (Object, error) {
 	operation := strings.ToLower(method) + " " + key
 	address := s.base + ObjectsPath + url.PathEscape(key)
@@ -148,14 +159,11 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
-	response, err := s.client.Do(request)
+	response, err := s.send(request)
 	if err != nil {
 		return Object{}, callError(method, operation, err)
 	}
 	defer response.Body.Close()
-	if err := pollencrank.CheckFieldNames(response.Header); err != nil {
-		return Object{}, callError(method, operation, err)
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
 	if err != nil {
 		return Object{}, callError(method, operation, err)
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -161,7 +161,11 @@
 		// Whatever ends the connection before the answer is complete must not look like its end.
 		e.conn.resetOnClose(true)
 	}
-	isLast := e.conn.isLastAnswer(e, wantsClose)
+	e.writeHead(status, e.conn.isLastAnswer(e, wantsClose))
+}
+
+// writeHead writes the head of the answer, which says whether it is the last one.
+func (e *exchange) writeHead(status int, isLast bool) {
 	e.header.Del("Connection")
 	switch {
 	case isLast:
