--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -191,13 +191,19 @@
 // it has been rewritten in the meantime, or if the store is unreachable.
 func (h *Hoster) removeDead(ctx context.Context, i namer.Instance) {
 	revision, isListed := h.roster.revisionOf(i)
-	if !isListed || h.replicator.IsStoreUnavailable() {
+	log := h.config.Log.With(slog.String("instance", i.ID), slog.String("position", revision.String()))
+	switch {
+	case !isListed:
+		return
+	case h.replicator.IsStoreUnavailable():
+		log.Warn("the entry of a dead instance was not removed", recorder.EventRemovalFailed.Attr(), slog.String("error", "the store is unavailable"))
 		return
 	}
 	if err := h.config.Registry.Remove(ctx, i.ID, revision); err != nil {
-		h.config.Log.Warn("the entry of a dead instance was not removed", recorder.EventInstanceUnreachable.Attr(),
-			slog.String("instance", i.ID), slog.Any("error", err))
+		log.Warn("the entry of a dead instance was not removed", recorder.EventRemovalFailed.Attr(), slog.Any("error", err))
+		return
 	}
+	log.Info("the entry of a dead instance was removed", recorder.EventInstanceRemoved.Attr())
 }
 
 // wakeRegister wakes the register loop unless a wake-up is pending already.
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -78,6 +78,8 @@
 	EventCutOffEnded           Event = 1926
 	EventRerouteFailed         Event = 1927
 	EventServerProbed          Event = 1928
+	EventInstanceRemoved       Event = 1929
+	EventRemovalFailed         Event = 1930
 	EventQuotaSpent            Event = 1941
 	EventQuotaFree             Event = 1942
 	EventQuotaLoanFailed       Event = 1943
@@ -156,6 +158,8 @@
 		{EventCutOffEnded, slog.LevelInfo, "This instance reaches the servers of that service again."},
 		{EventRerouteFailed, slog.LevelInfo, "Another instance did not take a request of this one, which is cut off from the servers; the next one is asked."},
 		{EventServerProbed, slog.LevelInfo, "An unreachable backend server was probed, because other instances use up what a cold one may get; isBack says whether it answered."},
+		{EventInstanceRemoved, slog.LevelInfo, "The entry of a dead instance was removed from the store; soon no look-up of the fleet names it."},
+		{EventRemovalFailed, slog.LevelWarn, "The entry of a dead instance could not be removed from the store yet; other instances may still name it."},
 		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
 		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
 		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
