fix: the entry of a dead instance is removed when the store is back

Cause: a death was reported once, at its moment, and its removal was one call, or none while the store was away; nobody tried again. Evidence: nine instances write PC1930 within 1.5 s of the SIGTERM, nothing follows the store's return until a tenth meets the dead one by chance, 20 s later. Change: package remover compares in each round what counts as dead with what is listed, and removes it at its listed position until it is not listed. Why it works: the neighbours of a dead instance know of it as long as it is listed, so the action depends on the state and not on the moment; if they die, their own neighbours take over.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -35,6 +35,7 @@
 	"github.com/pollencrank/pollencrank/recorder"
 	"github.com/pollencrank/pollencrank/registrar"
 	"github.com/pollencrank/pollencrank/relayer"
+	"github.com/pollencrank/pollencrank/remover"
 	"github.com/pollencrank/pollencrank/replicator"
 	"github.com/pollencrank/pollencrank/rerouter"
 	"github.com/pollencrank/pollencrank/router"
@@ -144,6 +145,7 @@
 	idles       *relayer.IdleCloser
 	prober      *prober.Prober
 	roster      *roster
+	remover     *remover.Remover
 	// state is the local copy of the store's collections; replicator keeps it up to
 	// date.
 	state      *replicator.State
@@ -205,7 +207,7 @@
 	h.prober = prober.New(prober.Config{
 		Self:              config.Self.ID,
 		Probe:             h.requestState,
-		OnDead:            h.removeDead,
+		OnDead:            func(context.Context, namer.Instance) { h.remover.Wake() },
 		Domain:            config.Self.FailureDomain,
 		ProbesMoreAtStart: h.asksForRestart,
 		OnChange:          h.roster.publish,
@@ -225,6 +227,7 @@
 		Log:         config.Log,
 	})
 	h.newFollowers()
+	h.remover = h.newRemover()
 	return h
 }
 
@@ -294,6 +297,7 @@
 	h.tomb.Go(h.register)
 	h.tomb.Go(h.sweep)
 	h.goUntilStopped(h.prober.Run)
+	h.goUntilStopped(h.remover.Run)
 	h.tomb.Go(h.publishAfterConfirmTime)
 	select {
 	case <-h.tomb.Dying():
--- /dev/null
+++ b/hoster/removal_test.go
@@ -0,0 +1,47 @@
+package hoster_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/platform/imitator"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+const instancesKind = "pollencrank-instances"
+
+// Guards against look-ups that go on naming an instance which was removed while the store was
+// away: nobody tried again to remove its entry when the store was back.
+func TestAnInstanceThatEndsWhileTheStoreIsAwayIsRemovedWhenItReturns(t *testing.T) {
+	s := newPlatformStore(t)
+	s.configure(t, 1, "/x/")
+	entries := []*entry{s.start(t, "entry-1"), s.start(t, "entry-2"), s.start(t, "entry-3")}
+	for _, e := range entries {
+		eventually(t, "registered", func() bool { return s.Has(instancesKind, e.ID) })
+	}
+	eventually(t, "look-ups name all", func() bool { return named(t, entries[0], entries[2]) })
+
+	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
+	for _, e := range entries {
+		eventually(t, "the outage is noticed", func() bool { return e.log.has(recorder.EventStoreUnavailable) })
+	}
+	entries[2].stop()
+	<-entries[2].done
+	for _, e := range entries[:2] {
+		eventually(t, "the death is noticed", func() bool { return e.log.has(recorder.EventInstanceUnreachable) })
+	}
+	require.True(t, s.Has(instancesKind, "entry-3"), "the store was away all the while")
+
+	s.InjectFaults(imitator.StoreFaults{})
+	eventually(t, "removed", func() bool { return !s.Has(instancesKind, "entry-3") })
+	require.True(t, s.Has(instancesKind, "entry-1"))
+	require.True(t, s.Has(instancesKind, "entry-2"))
+}
+
+// named reports whether the look-ups of an instance name another one.
+func named(t *testing.T, asked, other *entry) bool {
+	t.Helper()
+	return strings.Contains(asked.lookup(t), other.CallerAddress)
+}
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"context"
-	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,7 +11,7 @@
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/namer"
-	"github.com/pollencrank/pollencrank/recorder"
+	"github.com/pollencrank/pollencrank/remover"
 )
 
 // roster holds the instances that the store lists, and publishes those that serve
@@ -32,7 +30,7 @@
 
 type listedInstance struct {
 	namer.Instance
-	revision follower.Position
+	position follower.Position
 	// isPending says that the store has lost the entry.
 	isPending bool
 }
@@ -64,7 +62,7 @@
 			delete(r.listed, item.Name)
 			continue
 		}
-		r.listed[item.Name] = listedInstance{Instance: item.Value, revision: item.Revision, isPending: item.IsPending}
+		r.listed[item.Name] = listedInstance{Instance: item.Value, position: item.Revision, isPending: item.IsPending}
 	}
 	all := make([]namer.Instance, 0, len(r.listed))
 	for _, i := range r.listed {
@@ -164,12 +162,12 @@
 	return slices.DeleteFunc(slices.Clone(serving), func(i namer.Instance) bool { return i.ID == r.h.config.Self.ID })
 }
 
-// revisionOf returns the revision of an incarnation's entry, if it is listed.
-func (r *roster) revisionOf(i namer.Instance) (follower.Position, bool) {
+// positionOf returns the position of an incarnation's entry, if the store has it.
+func (r *roster) positionOf(i namer.Instance) (follower.Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed, isListed := r.listed[i.ID]
-	return listed.revision, isListed && listed.Incarnation == i.Incarnation
+	return listed.position, isListed && !listed.isPending && listed.Incarnation == i.Incarnation
 }
 
 // isRegistered reports whether this instance's own entry is in the store.
@@ -187,23 +185,25 @@
 	return r.listed[r.h.config.Self.ID].isPending
 }
 
-// removeDead removes the entry of an instance that does not answer. The entry stays if
-// it has been rewritten in the meantime, or if the store is unreachable.
-func (h *Hoster) removeDead(ctx context.Context, i namer.Instance) {
-	revision, isListed := h.roster.revisionOf(i)
-	log := h.config.Log.With(slog.String("instance", i.ID), slog.String("position", revision.String()))
-	switch {
-	case !isListed:
-		return
-	case h.replicator.IsStoreUnavailable():
-		log.Warn("the entry of a dead instance was not removed", recorder.EventRemovalFailed.Attr(), slog.String("error", "the store is unavailable"))
-		return
-	}
-	if err := h.config.Registry.Remove(ctx, i.ID, revision); err != nil {
-		log.Warn("the entry of a dead instance was not removed", recorder.EventRemovalFailed.Attr(), slog.Any("error", err))
-		return
+// newRemover returns the remover of the entries of dead instances.
+func (h *Hoster) newRemover() *remover.Remover {
+	return remover.New(remover.Config{
+		Registry:           h.config.Registry,
+		Dead:               h.deaths,
+		Position:           h.roster.positionOf,
+		IsStoreUnavailable: h.replicator.IsStoreUnavailable,
+		Log:                h.config.Log,
+	})
+}
+
+// deaths returns the instances that count as dead. The instance before a dead one in the
+// ring removes its entry first.
+func (h *Hoster) deaths() []remover.Death {
+	var deaths []remover.Death
+	for _, d := range h.prober.Dead() {
+		deaths = append(deaths, remover.Death{Instance: d.Instance, Turn: d.Rank})
 	}
-	log.Info("the entry of a dead instance was removed", recorder.EventInstanceRemoved.Attr())
+	return deaths
 }
 
 // wakeRegister wakes the register loop unless a wake-up is pending already.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -187,6 +187,46 @@
 	return dead && incarnation == i.Incarnation
 }
 
+// Dead is an instance that counts as dead.
+type Dead struct {
+	namer.Instance
+	// Rank is the number of live instances between this instance and the dead one in the
+	// ring, up to the number of neighbours that are probed.
+	Rank int
+}
+
+// Dead returns the instances of the fleet that count as dead, in the order of the ring.
+func (p *Prober) Dead() []Dead {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.dead) == 0 {
+		return nil
+	}
+	var dead []Dead
+	live := 0
+	for _, i := range p.ring() {
+		if incarnation, isDead := p.dead[i.ID]; !isDead || incarnation != i.Incarnation {
+			live++
+			continue
+		}
+		dead = append(dead, Dead{Instance: i, Rank: min(live, probedNeighbours)})
+	}
+	return dead
+}
+
+// ring returns the other instances in the order in which they follow this one in the
+// ring. The lock is held.
+func (p *Prober) ring() []namer.Instance {
+	start, isListed := slices.BinarySearchFunc(p.instances, p.config.Self, func(i namer.Instance, id string) int {
+		return strings.Compare(i.ID, id)
+	})
+	after := start
+	if isListed {
+		after++
+	}
+	return slices.Concat(p.instances[after:], p.instances[:start])
+}
+
 // Run probes periodically until ctx ends. It returns after its last probe has ended.
 func (p *Prober) Run(ctx context.Context) error {
 	var probes sync.WaitGroup
@@ -210,27 +250,19 @@
 }
 
 // probeTargets returns the instances to probe: the next probedNeighbours live ones after
-// this instance in the ring, the dead ones between them, which may have recovered,
-// and one of another failure domain.
+// this instance in the ring, the dead ones between them, which may have recovered, and one
+// of another failure domain.
 func (p *Prober) probeTargets() []namer.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	start, _ := slices.BinarySearchFunc(p.instances, p.config.Self, func(i namer.Instance, id string) int {
-		return strings.Compare(i.ID, id)
-	})
 	var targets []namer.Instance
 	live := 0
-	for offset := range p.instances {
-		i := p.instances[(start+offset)%len(p.instances)]
-		if i.ID == p.config.Self {
-			continue
-		}
-		if _, dead := p.dead[i.ID]; !dead {
+	for _, i := range p.ring() {
+		if _, isDead := p.dead[i.ID]; !isDead {
 			live++
 		}
-		targets = append(targets, i)
-		if live >= probedNeighbours {
-			break
+		if live <= probedNeighbours {
+			targets = append(targets, i)
 		}
 	}
 	return p.addDistantTarget(targets)
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -140,7 +140,7 @@
 		{EventRequestRetried, slog.LevelInfo, "An attempt failed and the request goes to another backend server, or through another instance."},
 		{EventRequestFinished, slog.LevelDebug, "A request was answered; a sample of all of them."},
 		{EventLinesDropped, slog.LevelWarn, "Log lines were dropped because too many were written; count says how many."},
-		{EventRegistrationFailed, slog.LevelWarn, "The instance's own entry in the store could not be written; it is tried again."},
+		{EventRegistrationFailed, slog.LevelWarn, "The instance's own entry in the store could not be written or removed; it is tried again."},
 		{EventConfigurationStale, slog.LevelWarn, "A configuration older than the one in force was read and is ignored."},
 		{EventServerJoined, slog.LevelInfo, "A backend server is in use; coldFor says how long it warms up."},
 		{EventServerRemoved, slog.LevelInfo, "A backend server's entry is gone; it gets no work."},
--- /dev/null
+++ b/soaker/removal.go
@@ -0,0 +1,98 @@
+package soaker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pollencrank/pollencrank/platform/imitator"
+)
+
+const (
+	// removalBound is the time after the end of an instance after which no look-up names it.
+	removalBound = 7 * time.Second
+	// removalCheckSpan is how long look-ups are made from then on while the fleet is not
+	// disturbed. Disturbances delay them up to maxRemovalCheck after the end.
+	removalCheckSpan = 2 * time.Second
+	maxRemovalCheck  = 20 * time.Second
+	// removalPollInterval is the interval of these look-ups.
+	removalPollInterval = 250 * time.Millisecond
+	// removalOutage is how long the store is away at least.
+	removalOutage = 1500 * time.Millisecond
+)
+
+// removeInOutage ends an instance while the store is away, and checks that the others stop
+// naming it when the store is back. It starts the instance again after that.
+func (s *soak) removeInOutage(ctx context.Context, span time.Duration, choice uint64) {
+	p := s.pickInstance(choice)
+	if !s.claimInstance(p) {
+		return
+	}
+	defer s.releaseInstance(p)
+	backAt := time.Now().Add(removalOutage + span)
+	s.ledger.disturbances.add(backAt.Add(recoveryTime))
+	s.store.InjectFaults(outageOf(choice))
+	sleep(ctx, removalOutage/2)
+	p.disturbances.add(backAt.Add(maxRemovalCheck + recoveryTime))
+	if isAnnounced := choice>>32%2 == 0; isAnnounced {
+		s.stopAsPlanned(p)
+	} else {
+		p.signal(syscall.SIGKILL)
+		p.awaitExit(exitTimeout)
+	}
+	endedAt := time.Now()
+	sleep(ctx, time.Until(backAt))
+	s.store.InjectFaults(imitator.StoreFaults{})
+	s.ledger.disturbances.add(time.Now().Add(recoveryTime))
+	s.checkRemoval(ctx, p, endedAt)
+	s.restart(ctx, p, 0)
+}
+
+// outageOf returns an outage: the store refuses calls, or does not answer them.
+func outageOf(choice uint64) imitator.StoreFaults {
+	if choice>>33%2 == 0 {
+		return imitator.StoreFaults{IsUnavailable: true}
+	}
+	return imitator.StoreFaults{IsUnresponsive: true}
+}
+
+// checkRemoval checks for a while that look-ups do not name an instance that has ended. The
+// answers of instances that are disturbed do not count.
+func (s *soak) checkRemoval(ctx context.Context, ended *process, endedAt time.Time) {
+	client := &http.Client{Timeout: dialTimeout}
+	defer client.CloseIdleConnections()
+	sleep(ctx, time.Until(endedAt.Add(removalBound)))
+	until := time.Now().Add(removalCheckSpan)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if s.ledger.disturbances.covers(time.Now()) && until.Before(endedAt.Add(maxRemovalCheck)) {
+			until = time.Now().Add(removalCheckSpan)
+		}
+		for _, asked := range s.instances {
+			askedAt := time.Now()
+			if asked == ended || s.ledger.disturbances.covers(askedAt) || asked.disturbances.covers(askedAt) {
+				continue
+			}
+			if s.names(ctx, client, asked, ended) {
+				s.ledger.reportViolation("a removed instance is not named", "%s names %s, which ended %s before",
+					asked.id, ended.id, askedAt.Sub(endedAt).Round(time.Millisecond))
+				return
+			}
+		}
+		sleep(ctx, removalPollInterval)
+	}
+}
+
+// names reports whether the answer of an instance to a look-up names another one.
+func (s *soak) names(ctx context.Context, client *http.Client, asked, other *process) bool {
+	addresses, err := imitator.Lookup(ctx, client, imitator.LookupURL(asked.ip, s.regionOf[other.domain], other.domain))
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		host, _, err := net.SplitHostPort(address)
+		return err == nil && host == other.ip
+	})
+}
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -92,6 +92,7 @@
 	return []faultKind{
 		{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})},
 		{"malformedNames", s.misbehave(imitator.Misbehaviour{Misnamed: 0.3})},
+		{"removedInOutage", s.removeInOutage},
 		{answersResetKind, s.misbehave(imitator.Misbehaviour{Reset: 0.7})},
 	}
 }
