fix: a leaving instance removes its entry until its stop ends

Why it works: what it waits for is that the entry is not listed, which also covers writes that are executed late. Measured: on the commit before, TestALeavingInstanceRemovesItsEntryWhenTheStoreReturns and TestALeavingInstanceRemovesAnEntryThatIsWrittenLate fail (the entry stays); with a repeat that names no position, TestALeavingInstanceKeepsTheEntryOfItsNextStart fails.

--- a/hoster/removal_test.go
+++ b/hoster/removal_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank/platform/imitator"
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -40,6 +41,56 @@
 	require.True(t, s.Has(instancesKind, "entry-2"))
 }
 
+// Guards against an entry that stays because the leaving instance called the store only once,
+// at the begin of its stop, in an outage that ended before the stop.
+func TestALeavingInstanceRemovesItsEntryWhenTheStoreReturns(t *testing.T) {
+	s := newPlatformStore(t)
+	e := s.start(t, "entry-1")
+	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
+	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
+	e.stop()
+	eventually(t, "a call has failed", func() bool { return e.log.has(recorder.EventRegistrationFailed) })
+	s.InjectFaults(imitator.StoreFaults{})
+	<-e.done
+	require.False(t, s.Has(instancesKind, "entry-1"))
+}
+
+// Guards against an entry that is written by a call without an answer, which the store executes
+// after the leaving instance has removed its entry.
+func TestALeavingInstanceRemovesAnEntryThatIsWrittenLate(t *testing.T) {
+	s := newPlatformStore(t)
+	e := s.start(t, "entry-1")
+	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
+	e.stop()
+	eventually(t, "removed", func() bool { return !s.Has(instancesKind, "entry-1") })
+	s.putInstance(t, e, e.Incarnation)
+	<-e.done
+	require.False(t, s.Has(instancesKind, "entry-1"))
+}
+
+// Guards against an instance that removes the entry of its own next start, which has begun
+// before this one has ended.
+func TestALeavingInstanceKeepsTheEntryOfItsNextStart(t *testing.T) {
+	s := newPlatformStore(t)
+	e := s.start(t, "entry-1")
+	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
+	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
+	e.stop()
+	eventually(t, "a call has failed", func() bool { return e.log.has(recorder.EventRegistrationFailed) })
+	s.putInstance(t, e, e.Incarnation+1)
+	s.InjectFaults(imitator.StoreFaults{})
+	<-e.done
+	require.True(t, s.Has(instancesKind, "entry-1"))
+}
+
+// putInstance writes the entry of a start of an instance.
+func (s *platformStore) putInstance(t *testing.T, e *entry, incarnation uint64) {
+	t.Helper()
+	require.NoError(t, s.Put(instancesKind, e.ID, wire.Instance{
+		CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain, Region: e.Region, Incarnation: incarnation,
+	}))
+}
+
 // named reports whether the look-ups of an instance name another one.
 func named(t *testing.T, asked, other *entry) bool {
 	t.Helper()
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -170,6 +170,30 @@
 	return listed.position, isListed && !listed.isPending && listed.Incarnation == i.Incarnation
 }
 
+// entryState says what the store lists of this instance.
+type entryState int
+
+const (
+	entryAbsent entryState = iota
+	// entryListed is the entry of this start, or of an earlier one that it replaces.
+	entryListed
+	entryOfLaterStart
+)
+
+// ownEntry returns the position of this instance's entry, or zero if there is none.
+func (r *roster) ownEntry() (follower.Position, entryState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own, isListed := r.listed[r.h.config.Self.ID]
+	switch {
+	case !isListed || own.isPending:
+		return 0, entryAbsent
+	case own.Incarnation > r.h.config.Self.Incarnation:
+		return own.position, entryOfLaterStart
+	}
+	return own.position, entryListed
+}
+
 // isRegistered reports whether this instance's own entry is in the store.
 func (r *roster) isRegistered() bool {
 	r.mu.Lock()
