fix: a dead instance that is not a neighbour is probed again

Callers saw: look-ups of one instance left out another that had answered again, for good, if its entry could not be removed at that moment (the store was away) and was not written again. Cause: targets of other failure domains are chosen among the live ones, so one that was counted dead was never asked again. Change: all dead instances that are listed are probed.

--- a/prober/dead_test.go
+++ b/prober/dead_test.go
@@ -1,7 +1,11 @@
 package prober_test
 
 import (
+	"context"
+	"errors"
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -28,3 +32,31 @@
 		require.Equal(t, []prober.Dead{{Instance: all[1], Rank: 0}}, p.Dead(), "one answers again")
 	})
 }
+
+// Guards against an instance of another failure domain that counts as dead for good, because
+// it was probed by chance and is not probed again.
+func TestADistantInstanceThatAnswersAgainLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{states: map[string]prober.State{}, probed: map[string]int{}}
+		all := instances(12)
+		all[11].FailureDomain = "south"
+		for _, i := range all[:11] {
+			f.states[i.ID] = prober.State{Incarnation: 1}
+		}
+		p := prober.New(prober.Config{
+			Self: all[0].ID, Probe: f.probe, OnChange: f.changed, Log: slog.New(slog.DiscardHandler),
+			OnDead: func(context.Context, namer.Instance) {},
+		})
+		p.SetInstances(all)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []prober.Dead{{Instance: all[11], Rank: 8}}, p.Dead())
+		f.set(all[11].ID, prober.State{Incarnation: 1})
+		time.Sleep(2 * time.Second)
+		require.Empty(t, p.Dead())
+		cancel()
+		require.True(t, errors.Is(<-ended, context.Canceled))
+	})
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -250,18 +250,19 @@
 }
 
 // probeTargets returns the instances to probe: the next probedNeighbours live ones after
-// this instance in the ring, the dead ones between them, which may have recovered, and one
-// of another failure domain.
+// this instance in the ring, all dead ones, which may have recovered, and one of another
+// failure domain.
 func (p *Prober) probeTargets() []namer.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var targets []namer.Instance
 	live := 0
 	for _, i := range p.ring() {
-		if _, isDead := p.dead[i.ID]; !isDead {
+		_, isDead := p.dead[i.ID]
+		if !isDead {
 			live++
 		}
-		if live <= probedNeighbours {
+		if isDead || live <= probedNeighbours {
 			targets = append(targets, i)
 		}
 	}
