--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -110,7 +110,10 @@
 	f.checks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		if !f.config.Suspects.IsDown(ctx, server.Address) || f.config.Rerouter.IsDoubtful(server.Service) {
+		isDown, isDoubtful := f.config.Suspects.IsDown(ctx, server.Address), f.config.Rerouter.IsDoubtful(server.Service)
+		f.config.Log.Info("a server that broke off the request was checked", recorder.EventServerChecked.Attr(),
+			slog.String("request", id), slog.String("server", server.ID), slog.Bool("isDown", isDown), slog.Bool("isLinkDoubtful", isDoubtful))
+		if !isDown || isDoubtful {
 			return
 		}
 		record := f.config.Suspects.Isolator.RecordCrash(crash)
