fix: a server that crashes in the middle of its answer is a strike against the request

Cause: servers were asked whether they had crashed only after attempts that ended before the answer's head. An answer that is passed on as it arrives even cleared the suspicion with its head, and its end was seen by nobody who records strikes. Evidence: 24 lines answerTruncated of the request without one PC1305; the only strikes were those of two sound requests. Change: the end of the attempt decides, also of one that is passed on: a break is looked at, a whole answer clears, a deadline or a caller that leaves does neither. A suspect holds its server until then. Why it works: whatever a server had sent when it crashed, the attempt ends by the break, and there the server is asked.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -58,19 +58,17 @@
 // bufferAnswer reads the body of an answer up to MaxBufferedAnswerBytes, so that a
 // truncated one is detected before any of it is passed on. A longer body is streamed,
 // and a failure is recorded for its server when the stream fails, unless the answer comes
-// through another instance and backend is nil.
-func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) error {
+// through another instance and backend is nil. It returns the body if it is streamed.
+func (f *Forwarder) bufferAnswer(ctx context.Context, call *Call, answer *pollencrank.Answer, backend *registrar.Backend) (*streamedBody, error) {
 	source := answer.Body
 	if answer.ContentLength > MaxBufferedAnswerBytes {
-		answer.Body = stream(ctx, answer, backend)
-		return nil
+		return stream(ctx, answer, backend), nil
 	}
 	body, err := f.config.AnswerStager.StageWithin(call.Share, source, answer.ContentLength)
 	var full *stager.FullError
 	if errors.As(err, &full) {
 		answer.IsOverCallerShare = full.IsShare
-		answer.Body = stream(ctx, answer, backend)
-		return nil
+		return stream(ctx, answer, backend), nil
 	}
 	if err != nil {
 		_ = source.Close()
@@ -78,30 +76,33 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			reason = pollencrank.ReasonDeadlinePassed
 		}
-		return pollencrank.OutcomeUnknown(reason, "server %s: the answer broke off: %v", answer.Server, err)
+		return nil, pollencrank.OutcomeUnknown(reason, "server %s: the answer broke off: %v", answer.Server, err)
 	}
 	if data, isWhole := body.Bytes(); isWhole {
 		_ = source.Close()
 		answer.ContentLength = int64(len(data))
 		answer.IsWhole = true
 		answer.Body = &bufferedBody{Reader: body.Reader(), body: body}
-		return nil
+		return nil, nil
 	}
 	answer.IsOverCallerShare = body.IsShareSpent()
 	streamed := stream(ctx, answer, backend)
 	streamed.reader = body.Reader()
 	streamed.buffered = body
-	answer.Body = streamed
-	return nil
+	return streamed, nil
 }
 
-// stream returns the body of an answer that is passed on as it arrives.
+// stream makes an answer pass its body on as it arrives, and returns the body.
 func stream(ctx context.Context, answer *pollencrank.Answer, backend *registrar.Backend) *streamedBody {
-	return &streamedBody{
+	streamed := &streamedBody{
 		Closer: answer.Body, reader: answer.Body, backend: backend,
 		hasCallerLeft: func() bool { return errors.Is(context.Cause(ctx), context.Canceled) },
+		onEnd:         func(error, time.Time) {},
+		onClose:       func() {},
 		pausedAt:      time.Now(),
 	}
+	answer.Body = streamed
+	return streamed
 }
 
 // bufferedBody is a body that is buffered completely.
@@ -128,6 +129,11 @@
 	backend       *registrar.Backend
 	buffered      *stager.Body
 	hasCallerLeft func() bool
+	// onEnd is called when the body has been read to its end, with nil, or when reading it
+	// fails. onClose is called when it is closed.
+	onEnd    func(err error, now time.Time)
+	onClose  func()
+	hasEnded bool
 	// pausedAt is when the last read has ended.
 	pausedAt time.Time
 	// waited is how long reads have taken, paused the time between them.
@@ -145,13 +151,29 @@
 	n, err := b.reader.Read(p)
 	now := time.Now()
 	b.waited += now.Sub(started)
-	if err != nil && b.backend != nil && !errors.Is(err, io.EOF) && !b.isOfCaller(err) {
-		b.backend.RecordFailure(now)
+	if err != nil {
+		b.end(err, now)
 	}
 	b.pausedAt = now
 	return n, err
 }
 
+// end records the end of the body, once.
+func (b *streamedBody) end(err error, now time.Time) {
+	if b.hasEnded {
+		return
+	}
+	b.hasEnded = true
+	if errors.Is(err, io.EOF) {
+		b.onEnd(nil, now)
+		return
+	}
+	if b.backend != nil && !b.isOfCaller(err) {
+		b.backend.RecordFailure(now)
+	}
+	b.onEnd(err, now)
+}
+
 // isOfCaller reports whether the caller, and not the server, is the cause of an error.
 func (b *streamedBody) isOfCaller(err error) bool {
 	isLate := errors.Is(err, context.DeadlineExceeded) && b.paused > b.waited
@@ -163,5 +185,6 @@
 	if b.buffered != nil {
 		b.buffered.Release()
 	}
+	defer b.onClose()
 	return b.Closer.Close()
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -322,8 +322,9 @@
 		Address:        server.Address,
 		MaxConnections: f.config.Budgets.ConnectionLimit(call.service.MaxConnections, time.Now()),
 	}
+	release := func() {}
 	if call.suspect != nil {
-		defer f.suspectRuns.begin(backend, *call.suspect)()
+		release = sync.OnceFunc(f.suspectRuns.begin(backend, *call.suspect))
 	}
 	started := time.Now()
 	call.Course.begin(chosen, started)
@@ -335,8 +336,14 @@
 	if err == nil {
 		err = verifyAnswer(answer, request)
 	}
+	var streamed *streamedBody
 	if err == nil {
-		err = f.bufferAnswer(ctx, call, answer, backend)
+		streamed, err = f.bufferAnswer(ctx, call, answer, backend)
+	}
+	if streamed == nil {
+		release()
+	} else {
+		f.watchStream(call, streamed, backend, started, release)
 	}
 	backend.End(sent)
 	f.room.wake(backend, time.Now())
@@ -371,7 +378,9 @@
 		f.observeFailure(ctx, call, backend, err, started, now)
 		return
 	}
-	f.clearSuspicion(call, now)
+	if answer.IsWhole {
+		f.clearSuspicion(call, now)
+	}
 	if isServerError(answer) {
 		backend.RecordFailure(now)
 		return
@@ -404,7 +413,9 @@
 	var notRun *pollencrank.NotRunError
 	if !errors.As(err, &notRun) {
 		backend.RecordFailure(now)
-		f.recordCrash(call, backend, err, started, now)
+		if isBrokenOff(err) {
+			f.recordCrash(call.Request.ID, fingerprint(call), backend, started, now)
+		}
 		return
 	}
 	switch notRun.Reason {
--- a/forwarder/reroute.go
+++ b/forwarder/reroute.go
@@ -200,7 +200,7 @@
 		err = verifyAnswer(answer, call.Request)
 	}
 	if err == nil {
-		err = f.bufferAnswer(ctx, call, answer, nil)
+		_, err = f.bufferAnswer(ctx, call, answer, nil)
 	}
 	if !pollencrank.IsNotRun(err) {
 		call.sent++
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -91,17 +91,23 @@
 	return isolator.FingerprintOf(call.Request, call.Body)
 }
 
+// isBrokenOff reports whether an attempt ended as it does if its server crashes: the
+// connection broke before the answer or in the middle of it.
+func isBrokenOff(err error) bool {
+	var unknown *pollencrank.OutcomeUnknownError
+	if !errors.As(err, &unknown) {
+		return false
+	}
+	return unknown.Reason == pollencrank.ReasonServerFailed || unknown.Reason == pollencrank.ReasonAnswerTruncated
+}
+
 // recordCrash records a strike against a request whose server crashed while running
 // it. It probes the server in the background first, because most broken connections
 // are not crashes.
-func (f *Forwarder) recordCrash(call *Call, backend *registrar.Backend, err error, beganAt, endedAt time.Time) {
-	var unknown *pollencrank.OutcomeUnknownError
-	if !errors.As(err, &unknown) || unknown.Reason != pollencrank.ReasonServerFailed {
-		return
-	}
-	server, id := backend.Server(), call.Request.ID
+func (f *Forwarder) recordCrash(id string, print isolator.Fingerprint, backend *registrar.Backend, beganAt, endedAt time.Time) {
+	server := backend.Server()
 	crash := isolator.Crash{
-		Fingerprint:   fingerprint(call),
+		Fingerprint:   print,
 		Server:        server.ID,
 		FailureDomain: server.FailureDomain,
 		BeganAt:       beganAt,
@@ -136,10 +142,30 @@
 // crashCheckTimeout bounds the probe that checks whether a server is down.
 const crashCheckTimeout = 800 * time.Millisecond
 
-// clearSuspicion clears the strikes of a request that a server has answered, unless
-// the request is already refused for crashing servers.
+// clearSuspicion clears the strikes of a request that a server has answered to the end,
+// unless the request is already refused for crashing servers.
 func (f *Forwarder) clearSuspicion(call *Call, now time.Time) {
 	if !f.config.Suspects.Isolator.IsEmpty() {
 		f.config.Suspects.Isolator.RecordAnswer(fingerprint(call), now)
 	}
 }
+
+// watchStream lets the end of an answer that is passed on as it arrives decide about its
+// request, as the end of any other attempt does: if the answer is complete, the request is
+// no longer suspected; if the server crashed, that is a strike. release is called when the
+// server no longer runs the request.
+func (f *Forwarder) watchStream(call *Call, streamed *streamedBody, backend *registrar.Backend, beganAt time.Time, release func()) {
+	// The request and its body belong to the caller's connection, and may be gone when the
+	// stream ends.
+	id, print := call.Request.ID, fingerprint(call)
+	streamed.onClose = release
+	streamed.onEnd = func(err error, now time.Time) {
+		switch {
+		case err == nil:
+			f.config.Suspects.Isolator.RecordAnswer(print, now)
+		case errors.Is(err, context.DeadlineExceeded) || streamed.hasCallerLeft():
+		default:
+			f.recordCrash(id, print, backend, beganAt, now)
+		}
+	}
+}
