fix: a sound request that runs at every crash is not blocked

Cause: each request that a crash cuts off gets a strike. Answers to its other copies cleared it only at the instance that had both, a block stood whatever was answered meanwhile, and the next strike counted although an answer had just come. Change: an answer to the end is remembered for 30 s and sent to the other instances if they suspect the request; such a request is not blocked, and a block is withdrawn by a copy that began before it. A 5xx proves nothing. Why it works: a request that crashes the servers that run it is never answered to its end, so an answer tells the two apart.

--- a/executor/isolate.go
+++ b/executor/isolate.go
@@ -43,7 +43,7 @@
 		return nil, sent.server, err
 	}
 	answer.Body = &suspectBody{ReadCloser: answer.Body, release: release, onComplete: func() {
-		e.config.Isolator.RecordAnswer(fingerprint(), time.Now())
+		e.config.Isolator.RecordAnswer(fingerprint(), sent.at, time.Now())
 	}}
 	return answer, sent.server, nil
 }
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -221,3 +222,32 @@
 	require.NoError(t, read(first, nil))
 	require.NoError(t, read(s.forwardURI(t.Context(), "/b")))
 }
+
+// Guards against a sound request that other instances go on suspecting, and block at the next
+// crash beside it, although a server has answered it here.
+func TestOthersAreToldThatASuspectWasAnswered(t *testing.T) {
+	s := newSystem(t)
+	s.route.MaxAttempts = 1
+	s.serversCrash.Store(true)
+	s.sender.reply = func(server string, n int, r *pollencrank.Request) (*pollencrank.Answer, error) {
+		switch n {
+		case 1:
+			return nil, connectionLost(server)
+		case 2:
+			a := soundAnswer(server, r)
+			a.Status = http.StatusInternalServerError
+			return a, nil
+		}
+		return soundAnswer(server, r), nil
+	}
+	require.Error(t, read(s.forwardRequest(t.Context(), "17")))
+	s.Wait()
+	require.Equal(t, 1, (<-s.broadcasts).Crashes)
+	require.NoError(t, read(s.forwardRequest(t.Context(), "17")))
+	require.Empty(t, s.broadcasts, "a failure of the server proves nothing")
+	for range 3 {
+		require.NoError(t, read(s.forwardRequest(t.Context(), "17")))
+	}
+	require.Len(t, s.broadcasts, 1)
+	require.Zero(t, (<-s.broadcasts).Crashes)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -343,7 +343,7 @@
 	if streamed == nil {
 		release()
 	} else {
-		f.watchStream(call, streamed, backend, started, release)
+		f.watchStream(call, answer, streamed, backend, started, release)
 	}
 	backend.End(sent)
 	f.room.wake(backend, time.Now())
@@ -378,13 +378,13 @@
 		f.observeFailure(ctx, call, backend, err, started, now)
 		return
 	}
-	if answer.IsWhole {
-		f.clearSuspicion(call, now)
-	}
 	if isServerError(answer) {
 		backend.RecordFailure(now)
 		return
 	}
+	if answer.IsWhole {
+		f.clearSuspicion(call, started, now)
+	}
 	class := call.requestClass()
 	serviceTime := max(took-f.distance(server), time.Millisecond)
 	usual := f.serviceTimes.Estimate(class, serviceTime)
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -142,27 +142,38 @@
 // crashCheckTimeout bounds the probe that checks whether a server is down.
 const crashCheckTimeout = 800 * time.Millisecond
 
-// clearSuspicion clears the strikes of a request that a server has answered to the end,
-// unless the request is already refused for crashing servers.
-func (f *Forwarder) clearSuspicion(call *Call, now time.Time) {
+// clearSuspicion ends the suspicion of a request that a server has answered to the end.
+func (f *Forwarder) clearSuspicion(call *Call, beganAt, now time.Time) {
 	if !f.config.Suspects.Isolator.IsEmpty() {
-		f.config.Suspects.Isolator.RecordAnswer(fingerprint(call), now)
+		f.recordAnswer(call.Request.ID, fingerprint(call), beganAt, now)
 	}
 }
 
+// recordAnswer records that a server has answered a request to the end, and tells the other
+// instances if it was suspected.
+func (f *Forwarder) recordAnswer(id string, print isolator.Fingerprint, beganAt, now time.Time) {
+	if !f.config.Suspects.Isolator.RecordAnswer(print, beganAt, now) {
+		return
+	}
+	f.config.Log.Info("a suspected request was answered", recorder.EventSuspicionEnded.Attr(), slog.String("request", id))
+	f.config.Suspects.Broadcast(isolator.AnsweredRecord(print, now))
+}
+
 // watchStream lets the end of an answer that is passed on as it arrives decide about its
 // request, as the end of any other attempt does: if the answer is complete, the request is
 // no longer suspected; if the server crashed, that is a strike. release is called when the
 // server no longer runs the request.
-func (f *Forwarder) watchStream(call *Call, streamed *streamedBody, backend *registrar.Backend, beganAt time.Time, release func()) {
+func (f *Forwarder) watchStream(call *Call, answer *pollencrank.Answer, streamed *streamedBody, backend *registrar.Backend, beganAt time.Time, release func()) {
 	// The request and its body belong to the caller's connection, and may be gone when the
 	// stream ends.
 	id, print := call.Request.ID, fingerprint(call)
 	streamed.onClose = release
+	isAnswer := !isServerError(answer)
 	streamed.onEnd = func(err error, now time.Time) {
 		switch {
+		case err == nil && !isAnswer:
 		case err == nil:
-			f.config.Suspects.Isolator.RecordAnswer(print, now)
+			f.recordAnswer(id, print, beganAt, now)
 		case errors.Is(err, context.DeadlineExceeded) || streamed.hasCallerLeft():
 		default:
 			f.recordCrash(id, print, backend, beganAt, now)
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -209,7 +209,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return nil
 		}
-		h.isolator.Merge(records, time.Now())
+		h.mergeSuspects(records, time.Now())
 		return nil
 	})
 	routes.POST(loansPath, h.serveLoan)
--- a/hoster/suspects.go
+++ b/hoster/suspects.go
@@ -142,6 +142,22 @@
 	return records, nil
 }
 
+// mergeSuspects adds records of another instance, and tells all of requests that it has blocked
+// and that were answered here. A record without crashes is of a request that was answered.
+func (h *Hoster) mergeSuspects(records []isolator.Record, now time.Time) {
+	var crashed []isolator.Record
+	for _, r := range records {
+		if r.Crashes == 0 {
+			h.isolator.MergeAnswer(r.Fingerprint, now)
+			continue
+		}
+		crashed = append(crashed, r)
+	}
+	for _, answered := range h.isolator.Merge(crashed, now) {
+		h.broadcaster.enqueue(isolator.AnsweredRecord(answered, now))
+	}
+}
+
 // isDown reports whether nothing accepts connections at a server's address.
 func isDown(ctx context.Context, address string) bool {
 	var dialer net.Dialer
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -15,6 +15,11 @@
 //     within commonCauseWindow of the second one. One that ends later withdraws the
 //     block again.
 //
+// A request that a server has answered to its end does not crash the servers that run it.
+// It is not blocked as long as that is recent, and a block is withdrawn if a copy that ran
+// meanwhile is answered. A request that is sent often is in flight at every crash of another
+// one, and would be blocked for it. Entries tell each other of such answers.
+//
 // Records are sent to other entries at once, but the caller of the crashed request may
 // be answered before they arrive: each retry that overtakes them costs at most one
 // more server.
@@ -159,6 +164,8 @@
 	counted map[Fingerprint]Crash
 	// recent are the crashes within commonCauseWindow of the latest one.
 	recent []Crash
+	// answered are the requests that were answered lately.
+	answered answers
 	// size is the number of records, which IsEmpty reads without the lock.
 	size atomic.Int64
 }
@@ -216,7 +223,7 @@
 	}
 	i.addRecent(crash)
 	i.withdrawRefuted(crash)
-	if r.Crashes == 0 || i.isEvidence(crash) {
+	if r.Crashes == 0 || (i.isEvidence(crash) && !i.answered.has(crash.Fingerprint, now)) {
 		r.Crashes++
 		i.counted[crash.Fingerprint] = crash
 	}
@@ -284,21 +291,42 @@
 	i.recent = append(kept, crash)
 }
 
-// Merge adds records of other entries. A record replaces one of lower severity only.
-func (i *Isolator) Merge(records []Record, now time.Time) {
+// Merge adds records of other entries. A record replaces one of lower severity only, and
+// none of a request that was answered here lately. Merge returns the blocked ones of these,
+// of which the other entries have to be told.
+func (i *Isolator) Merge(records []Record, now time.Time) (answered []Fingerprint) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, r := range records {
 		// A wrong clock or a fault of another entry must not extend a record.
 		r.Until = earlier(r.Until, now.Add(i.config.BlockTTL))
+		if i.answered.has(r.Fingerprint, now) {
+			if r.Status(now) == Blocked {
+				answered = append(answered, r.Fingerprint)
+			}
+			continue
+		}
 		existing := i.records[r.Fingerprint]
 		if r.Status(now) > existing.Status(now) {
 			i.store(r, now)
 			i.knownSince[r.Fingerprint] = now
 		}
 	}
+	return answered
+}
+
+// MergeAnswer records that a server has answered a request of another entry to its end.
+func (i *Isolator) MergeAnswer(f Fingerprint, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.answered.add(f, now)
+	i.remove(f)
 }
 
+// AnsweredRecord returns the record that tells other entries of the answer to a request. It
+// has no crashes.
+func AnsweredRecord(f Fingerprint, now time.Time) Record { return Record{Fingerprint: f, Until: now} }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -306,14 +334,19 @@
 	return b
 }
 
-// RecordAnswer removes the record of a suspect that a server answered. A blocked
-// request stays blocked.
-func (i *Isolator) RecordAnswer(f Fingerprint, now time.Time) {
+// RecordAnswer records that a server has answered a request to its end. The request is no
+// longer suspected. A block is withdrawn only if the attempt began before it: the block
+// refuses all others. RecordAnswer reports whether other entries have to be told.
+func (i *Isolator) RecordAnswer(f Fingerprint, beganAt, now time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.records[f].Status(now) != Blocked {
-		i.remove(f)
+	r, isKnown := i.records[f]
+	if r.Status(now) == Blocked && !beganAt.Before(i.knownSince[f]) {
+		return false
 	}
+	i.answered.add(f, now)
+	i.remove(f)
+	return isKnown
 }
 
 // store stores a record. If the table is full, the record replaces the one that
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -38,6 +38,7 @@
 	EventRequestSuspected      Event = 1303
 	EventRequestBlocked        Event = 1304
 	EventServerChecked         Event = 1305
+	EventSuspicionEnded        Event = 1306
 	EventRequestRefused        Event = 1401
 	EventOutcomeUnknown        Event = 1402
 	EventAnswerTruncated       Event = 1403
@@ -119,6 +120,7 @@
 		{EventRequestSuspected, slog.LevelWarn, "A backend server died while it ran a request; such requests run one at a time now."},
 		{EventRequestBlocked, slog.LevelWarn, "A second backend server died of the same request; it is refused for a while."},
 		{EventServerChecked, slog.LevelInfo, "A backend server broke off a request and was asked whether it still accepts connections; isDown says that it does not, isLinkDoubtful that this instance's own links may be at fault."},
+		{EventSuspicionEnded, slog.LevelInfo, "A suspected request was answered by a server to its end; it is no longer suspected here or at other instances."},
 		{EventRequestRefused, slog.LevelInfo, "A request was refused and did not run."},
 		{EventOutcomeUnknown, slog.LevelWarn, "A request may have run; its answer was lost."},
 		{EventAnswerTruncated, slog.LevelWarn, "A backend server's answer broke off; the caller's connection was cut."},
