--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -168,12 +168,13 @@
 	// stream ends.
 	id, print := call.Request.ID, fingerprint(call)
 	streamed.onClose = release
-	isAnswer := !isServerError(answer)
+	isFailure := isServerError(answer)
 	streamed.onEnd = func(err error, now time.Time) {
 		switch {
-		case err == nil && !isAnswer:
 		case err == nil:
-			f.recordAnswer(id, print, beganAt, now)
+			if !isFailure {
+				f.recordAnswer(id, print, beganAt, now)
+			}
 		case errors.Is(err, context.DeadlineExceeded) || streamed.hasCallerLeft():
 		default:
 			f.recordCrash(id, print, backend, beganAt, now)
--- a/hoster/removal_test.go
+++ b/hoster/removal_test.go
@@ -18,10 +18,7 @@
 func TestAnInstanceThatEndsWhileTheStoreIsAwayIsRemovedWhenItReturns(t *testing.T) {
 	s := newPlatformStore(t)
 	s.configure(t, 1, "/x/")
-	entries := []*entry{s.start(t, "entry-1"), s.start(t, "entry-2"), s.start(t, "entry-3")}
-	for _, e := range entries {
-		eventually(t, "registered", func() bool { return s.Has(instancesKind, e.ID) })
-	}
+	entries := []*entry{s.startRegistered(t, "entry-1"), s.startRegistered(t, "entry-2"), s.startRegistered(t, "entry-3")}
 	eventually(t, "look-ups name all", func() bool { return named(t, entries[0], entries[2]) })
 
 	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
@@ -45,11 +42,8 @@
 // at the begin of its stop, in an outage that ended before the stop.
 func TestALeavingInstanceRemovesItsEntryWhenTheStoreReturns(t *testing.T) {
 	s := newPlatformStore(t)
-	e := s.start(t, "entry-1")
-	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
-	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
-	e.stop()
-	eventually(t, "a call has failed", func() bool { return e.log.has(recorder.EventRegistrationFailed) })
+	e := s.startRegistered(t, "entry-1")
+	s.stopInOutage(t, e)
 	s.InjectFaults(imitator.StoreFaults{})
 	<-e.done
 	require.False(t, s.Has(instancesKind, "entry-1"))
@@ -59,8 +53,7 @@
 // after the leaving instance has removed its entry.
 func TestALeavingInstanceRemovesAnEntryThatIsWrittenLate(t *testing.T) {
 	s := newPlatformStore(t)
-	e := s.start(t, "entry-1")
-	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
+	e := s.startRegistered(t, "entry-1")
 	e.stop()
 	eventually(t, "removed", func() bool { return !s.Has(instancesKind, "entry-1") })
 	s.putInstance(t, e, e.Incarnation)
@@ -72,17 +65,30 @@
 // before this one has ended.
 func TestALeavingInstanceKeepsTheEntryOfItsNextStart(t *testing.T) {
 	s := newPlatformStore(t)
-	e := s.start(t, "entry-1")
-	eventually(t, "registered", func() bool { return s.Has(instancesKind, "entry-1") })
-	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
-	e.stop()
-	eventually(t, "a call has failed", func() bool { return e.log.has(recorder.EventRegistrationFailed) })
+	e := s.startRegistered(t, "entry-1")
+	s.stopInOutage(t, e)
 	s.putInstance(t, e, e.Incarnation+1)
 	s.InjectFaults(imitator.StoreFaults{})
 	<-e.done
 	require.True(t, s.Has(instancesKind, "entry-1"))
 }
 
+// startRegistered starts an instance and waits for its entry.
+func (s *platformStore) startRegistered(t *testing.T, id string) *entry {
+	t.Helper()
+	e := s.start(t, id)
+	eventually(t, "registered", func() bool { return s.Has(instancesKind, id) })
+	return e
+}
+
+// stopInOutage begins a planned stop while the store is away, which it stays.
+func (s *platformStore) stopInOutage(t *testing.T, e *entry) {
+	t.Helper()
+	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
+	e.stop()
+	eventually(t, "a call has failed", func() bool { return e.log.has(recorder.EventRegistrationFailed) })
+}
+
 // putInstance writes the entry of a start of an instance.
 func (s *platformStore) putInstance(t *testing.T, e *entry, incarnation uint64) {
 	t.Helper()
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -11,7 +11,6 @@
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/namer"
-	"github.com/pollencrank/pollencrank/remover"
 )
 
 // roster holds the instances that the store lists, and publishes those that serve
@@ -209,27 +208,6 @@
 	return r.listed[r.h.config.Self.ID].isPending
 }
 
-// newRemover returns the remover of the entries of dead instances.
-func (h *Hoster) newRemover() *remover.Remover {
-	return remover.New(remover.Config{
-		Registry:           h.config.Registry,
-		Dead:               h.deaths,
-		Position:           h.roster.positionOf,
-		IsStoreUnavailable: h.replicator.IsStoreUnavailable,
-		Log:                h.config.Log,
-	})
-}
-
-// deaths returns the instances that count as dead. The instance before a dead one in the
-// ring removes its entry first.
-func (h *Hoster) deaths() []remover.Death {
-	var deaths []remover.Death
-	for _, d := range h.prober.Dead() {
-		deaths = append(deaths, remover.Death{Instance: d.Instance, Turn: d.Rank})
-	}
-	return deaths
-}
-
 // wakeRegister wakes the register loop unless a wake-up is pending already.
 func (h *Hoster) wakeRegister() {
 	select {
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -22,10 +21,6 @@
 // waits for a deadline.
 const stopPollInterval = 20 * time.Millisecond
 
-// deregisterInterval is the time between two looks at the instance's own entry during a
-// planned stop.
-const deregisterInterval = 300 * time.Millisecond
-
 // stop performs a planned stop. Look-ups no longer name the instance, the ready check
 // fails, and every answer closes its connection. New requests are served for a while
 // and refused afterwards; requests in flight are finished.
@@ -61,60 +56,6 @@
 	}
 }
 
-// deregister removes the instance's entry from the store in the background, until the
-// deadline: again after an error, and again if a write that was under way when the stop
-// began lists the instance once more.
-func (h *Hoster) deregister(deadline time.Time) {
-	stopped := h.tomb.Context(context.Background())
-	h.tomb.Go(func() error {
-		ctx, cancel := context.WithDeadline(stopped, deadline)
-		defer cancel()
-		ticker := time.NewTicker(deregisterInterval)
-		defer ticker.Stop()
-		var own deregistration
-		for {
-			h.deregisterOnce(ctx, &own)
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-			}
-		}
-	})
-}
-
-// deregistration is what has been done to remove the instance's entry.
-type deregistration struct {
-	// wasListed says that the entry has been seen, and isRemoved that it was removed,
-	// last at the position removedAt.
-	wasListed, isRemoved bool
-	removedAt            follower.Position
-}
-
-// deregisterOnce removes the instance's entry if it may be in the store. An entry that was
-// never seen is removed at any position: the watches may not show it yet. The entry of a
-// later start of the instance is kept.
-func (h *Hoster) deregisterOnce(ctx context.Context, own *deregistration) {
-	position, state := h.roster.ownEntry()
-	switch {
-	case state == entryOfLaterStart:
-		return
-	case state == entryAbsent && (own.wasListed || own.isRemoved):
-		return
-	case state == entryListed && own.isRemoved && position <= own.removedAt:
-		return
-	}
-	own.wasListed = own.wasListed || state == entryListed
-	err := h.config.Registry.Remove(ctx, h.config.Self.ID, position)
-	if err != nil {
-		h.config.Log.Warn("the instance's entry could not be removed from the store", recorder.EventRegistrationFailed.Attr(),
-			slog.String("position", position.String()), slog.Any("error", err))
-		return
-	}
-	own.isRemoved = true
-	own.removedAt = max(own.removedAt, position)
-}
-
 func sleepUntil(deadline time.Time) {
 	for time.Now().Before(deadline) {
 		time.Sleep(min(stopPollInterval, time.Until(deadline)))
