--- a/hoster/removal.go
+++ b/hoster/removal.go
@@ -88,4 +88,3 @@
 	own.isRemoved = true
 	own.removedAt = max(own.removedAt, position)
 }
-
