test: tests of remover do not look at the moment of a round

TestAnInstanceThatAnswersKeepsItsEntry changed the state in the moment of a round (1 of 2,000). Faults of the tests. Change: state is changed and looked at 50 ms off the rounds; the look after the return is 0.9 s after it, before any call may come, and the last one as before.

--- a/remover/remover_test.go
+++ b/remover/remover_test.go
@@ -86,6 +86,9 @@
 	return len(s.positions), append([]time.Duration(nil), s.calls...)
 }
 
+// offRound is how long after the rounds a test changes the state and looks at it.
+const offRound = 50 * time.Millisecond
+
 // run runs a Remover of which n instances are dead, all at the given turn.
 func run(t *testing.T, n, turn int, test func(s *store)) {
 	t.Helper()
@@ -102,6 +105,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
+		// Nothing is changed or looked at in the moment of a round.
+		time.Sleep(offRound)
 		test(s)
 		cancel()
 		require.ErrorIs(t, <-ended, context.Canceled)
@@ -160,10 +165,10 @@
 		s.change(func() { s.isUnavailable = true })
 		time.Sleep(time.Minute)
 		s.change(func() { s.isUnavailable = false })
-		time.Sleep(time.Second)
+		time.Sleep(900 * time.Millisecond)
 		_, calls = s.seen()
 		require.Empty(t, calls, "others come first when the store is back, too")
-		time.Sleep(time.Second)
+		time.Sleep(1100 * time.Millisecond)
 		_, calls = s.seen()
 		require.Len(t, calls, 1, "the others have not done it")
 	})
