test: TestAnInstanceThatAnswersAgainLives kills off the first round

A fault of the test. Change: it kills after a second, and expects the first answers of both instances, a death and a recovery.

--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -149,6 +149,7 @@
 
 func TestAnInstanceThatAnswersAgainLives(t *testing.T) {
 	run(t, 3, func(f *fleet, p *prober.Prober, all []namer.Instance) {
+		time.Sleep(time.Second)
 		f.kill(all[1].ID)
 		time.Sleep(5 * time.Second)
 		require.True(t, p.IsDead(all[1]))
@@ -156,7 +157,7 @@
 		time.Sleep(2 * time.Second)
 		require.False(t, p.IsDead(all[1]))
 		_, _, changes := f.observed()
-		require.Equal(t, 3, changes, "the first answer of the other instance, a death, a recovery")
+		require.Equal(t, 4, changes, "the first answers of both, a death, a recovery")
 	})
 }
 
