fix: failed probes right after each other count as one miss

Cause: three failed probes in a row make an instance dead, however short the time between them. Rounds that were woken 0, 2 and 5 ms after the start of an instance made another one dead that opened its port at 6 ms; its entry was removed, and it held its quotas seconds later.

Change: a failed probe that begins within half an interval of one that counted does not count. A death is known after three ticks as before.

Measured: TestRoundsRightAfterEachOtherCountAsOneMiss fails without the fix (reported dead).

--- a/prober/dead_test.go
+++ b/prober/dead_test.go
@@ -60,3 +60,33 @@
 		require.True(t, errors.Is(<-ended, context.Canceled))
 	})
 }
+
+// Guards against an instance that counts as dead because it did not answer for a few
+// milliseconds, in which several rounds of probes were woken.
+func TestRoundsRightAfterEachOtherCountAsOneMiss(t *testing.T) {
+	run(t, 4, func(f *fleet, p *prober.Prober, all []namer.Instance) {
+		time.Sleep(10 * time.Second)
+		f.kill(all[1].ID)
+		for range 5 {
+			p.Wake()
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.set(all[1].ID, prober.State{Incarnation: 1})
+		time.Sleep(2 * time.Second)
+		require.False(t, p.IsDead(all[1]))
+		require.Empty(t, f.removedIDs())
+	})
+}
+
+// Guards against a death that is noticed later because rounds were woken in between.
+func TestWokenRoundsDoNotDelayADeath(t *testing.T) {
+	run(t, 4, func(f *fleet, p *prober.Prober, all []namer.Instance) {
+		time.Sleep(10 * time.Second)
+		f.kill(all[1].ID)
+		for range 10 {
+			p.Wake()
+			time.Sleep(275 * time.Millisecond)
+		}
+		require.True(t, p.IsDead(all[1]))
+	})
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -46,8 +46,10 @@
 	resultMemory   = 4 * time.Second
 	maxFailedShare = 0.25
 	// deadAfterMisses is the number of consecutive failed probes after which an
-	// instance counts as dead.
+	// instance counts as dead. Of those that begin within minMissInterval only the first
+	// counts.
 	deadAfterMisses = 3
+	minMissInterval = probeInterval / 2
 )
 
 // State is the answer of an instance to a probe.
@@ -91,7 +93,7 @@
 
 	mu        sync.Mutex
 	instances []namer.Instance
-	misses    map[string]int
+	misses    map[string]misses
 	dead      map[string]uint64
 	// readyByID holds the instances that have answered at least once, with the
 	// readiness in their last answer.
@@ -106,9 +108,16 @@
 	wakeup chan struct{}
 }
 
+// misses are the failed probes of an instance since its last answer.
+type misses struct {
+	count int
+	// lastBeganAt is when the last one that counts began.
+	lastBeganAt time.Time
+}
+
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]int{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, startAnswered: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]misses{}, dead: map[string]uint64{}, readyByID: map[string]bool{}, startAnswered: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -329,6 +338,7 @@
 func (p *Prober) probe(ctx context.Context, i namer.Instance) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	beganAt := time.Now()
 	state, err := p.config.Probe(probeCtx, i)
 	if ctx.Err() != nil {
 		return
@@ -338,7 +348,7 @@
 		p.recordAnswer(i, state.IsReady)
 		return
 	}
-	p.recordMiss(ctx, i, err == nil && state.IsStopping)
+	p.recordMiss(ctx, i, beganAt, err == nil && state.IsStopping)
 }
 
 // result is whether the last probe of an instance was answered, and when it ended.
@@ -384,14 +394,18 @@
 	}
 }
 
-// recordMiss counts a failed probe. An instance that reports that it is stopping
-// counts as dead at once.
-func (p *Prober) recordMiss(ctx context.Context, i namer.Instance, isStopping bool) {
+// recordMiss counts a failed probe. Rounds can be woken one right after the other; their
+// probes tell no more than one. An instance that reports that it is stopping counts as dead
+// at once.
+func (p *Prober) recordMiss(ctx context.Context, i namer.Instance, beganAt time.Time, isStopping bool) {
 	p.mu.Lock()
-	p.misses[i.ID]++
-	misses := p.misses[i.ID]
+	missed := p.misses[i.ID]
+	if missed.count == 0 || beganAt.Sub(missed.lastBeganAt) >= minMissInterval {
+		missed = misses{missed.count + 1, beganAt}
+		p.misses[i.ID] = missed
+	}
 	incarnation, wasDead := p.dead[i.ID]
-	isNewlyDead := (misses >= deadAfterMisses || isStopping) && (!wasDead || incarnation != i.Incarnation)
+	isNewlyDead := (missed.count >= deadAfterMisses || isStopping) && (!wasDead || incarnation != i.Incarnation)
 	if isNewlyDead {
 		p.dead[i.ID] = i.Incarnation
 	}
@@ -400,7 +414,7 @@
 		return
 	}
 	p.config.Log.Warn("an instance counts as dead: it is stopping or does not answer probes", recorder.EventInstanceUnreachable.Attr(),
-		slog.String("instance", i.ID), slog.Bool("stopping", isStopping), slog.Int("misses", misses))
+		slog.String("instance", i.ID), slog.Bool("stopping", isStopping), slog.Int("misses", missed.count))
 	p.config.OnChange()
 	p.config.OnDead(ctx, i)
 }
