fix: an instance whose servers answer requests is not cut off from them

Cause: an answer took back failures that lead to a check of the links, but not a check that had begun: where no probe was answered within 500 ms, the instance counted as cut off, though 14 to 31 requests had been answered in the meantime (four of four traced cuts).

Change: a round of probes counts as answered if a server has answered a request since it began.

Measured: TestServersThatAnswerDuringTheProbesAreNotACut fails without the fix. Not every such 503 comes from it: with load 35 to 75 and the fix some remain, one of them traced to connections that were not made in time.

--- a/rerouter/detector.go
+++ b/rerouter/detector.go
@@ -67,6 +67,9 @@
 type serviceLinks struct {
 	// failing are the servers that have failed since the last answer of any server.
 	failing map[string]bool
+	// hasAnswered says that a server has answered a request since the last round of probes
+	// began.
+	hasAnswered bool
 	// isChecked says that a check runs.
 	isChecked bool
 	// checkAfter is when the next check may begin.
@@ -134,6 +137,7 @@
 	defer d.mu.Unlock()
 	if links := d.services[service]; links != nil {
 		clear(links.failing)
+		links.hasAnswered = true
 	}
 }
 
@@ -172,7 +176,7 @@
 
 // check probes servers of a service, and until one answers if none does.
 func (d *Detector) check(service string) {
-	for !d.probe(service) {
+	for !d.reaches(service) {
 		if d.ctx.Err() != nil {
 			return
 		}
@@ -192,6 +196,21 @@
 	links.checkAfter = time.Now().Add(checkPause)
 }
 
+// reaches makes a round of probes of servers of a service, and reports whether a server has
+// answered a probe, or a request in the meantime: a server under load may answer requests
+// but no probe in time.
+func (d *Detector) reaches(service string) bool {
+	d.mu.Lock()
+	d.linksOf(service).hasAnswered = false
+	d.mu.Unlock()
+	if d.probe(service) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.linksOf(service).hasAnswered
+}
+
 // probe probes some servers of a service, and reports whether one of them answers. A
 // service without servers counts as reached.
 func (d *Detector) probe(service string) bool {
--- a/rerouter/detector_test.go
+++ b/rerouter/detector_test.go
@@ -102,6 +102,41 @@
 	}
 }
 
+// Guards against requests that are refused as cut off while servers under load answer others:
+// only the probes get no answer in time.
+func TestServersThatAnswerDuringTheProbesAreNotACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinks(2)
+		defer l.Close()
+		l.set(true, l.names...)
+		for _, server := range l.names {
+			l.request(server)
+		}
+		time.Sleep(100 * time.Millisecond)
+		l.ObserveAnswer(service)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.False(t, l.IsCutOff(service))
+		require.Zero(t, l.changes.Load())
+	})
+}
+
+// Guards against a cut that is not noticed because servers answered before it.
+func TestAnswersBeforeACutDoNotHideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinks(2)
+		defer l.Close()
+		l.request(l.names[0])
+		l.set(true, l.names...)
+		for _, server := range l.names {
+			l.request(server)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.True(t, l.IsCutOff(service))
+	})
+}
+
 // Guards against requests that go through other instances after the cut has ended.
 func TestTheEndOfACutIsNoticedWithinASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
