test: a request that crashes servers through another instance is refused

Change: a test of hoster with two instances, one of them cut off from six servers, and a request that crashes each server in the middle of its answer. No change in the product: it passes on the code as it is.

--- a/hoster/cut_test.go
+++ b/hoster/cut_test.go
@@ -178,10 +178,12 @@
 
 const (
 	// A request for slowPath is never answered, one for longPath after longTime, which is
-	// within the time of a planned stop.
-	slowPath = "/slow"
-	longPath = "/long"
-	longTime = 1200 * time.Millisecond
+	// within the time of a planned stop. One for crashPath crashes its server in the middle
+	// of the answer.
+	slowPath  = "/slow"
+	longPath  = "/long"
+	crashPath = "/crash"
+	longTime  = 1200 * time.Millisecond
 )
 
 func newCutFleet(t *testing.T, servers int) *cutFleet {
@@ -198,6 +200,9 @@
 				f.reached <- struct{}{}
 				<-time.After(longTime)
 			}
+			if r.URL.Path == crashPath {
+				crashInAnswer(w, r)
+			}
 			if r.URL.Path == slowPath {
 				f.reached <- struct{}{}
 				<-r.Context().Done()
@@ -221,6 +226,15 @@
 	return f
 }
 
+// crashInAnswer ends the server of a request in the middle of its answer.
+func crashInAnswer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", "1000")
+	_, _ = w.Write(make([]byte, 500))
+	_ = http.NewResponseController(w).Flush()
+	_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+	panic(http.ErrAbortHandler)
+}
+
 // serves reports whether an instance serves as many requests at the same time.
 func (f *cutFleet) serves(t *testing.T, e *entry, count int) bool {
 	t.Helper()
--- a/hoster/suspects_test.go
+++ b/hoster/suspects_test.go
@@ -32,6 +32,25 @@
 	require.True(t, served())
 }
 
+// Guards against a request that crashes servers in their answers and is never held back,
+// because it comes through another instance from one that reaches no server.
+func TestARequestThatCrashesServersThroughAnotherInstanceIsRefused(t *testing.T) {
+	f := newCutFleet(t, 6)
+	f.setLinks(t, linkResets)
+	f.awaitCut(t)
+	isRefused := func(e *entry) bool {
+		_, text, _ := e.get(t, crashPath)
+		return strings.Contains(text, string(pollencrank.ReasonCrashesServers))
+	}
+	for _, e := range []*entry{f.cut, f.other} {
+		eventually(t, "it is refused", func() bool { return isRefused(e) })
+	}
+	for range 10 {
+		require.True(t, isRefused(f.cut))
+		require.True(t, isRefused(f.other))
+	}
+}
+
 // postSuspect sends an instance a record of a request, as another instance does.
 func (e *entry) postSuspect(t *testing.T, f isolator.Fingerprint, strikes int) {
 	t.Helper()
