test: TestAnswersBeforeACutDoNotHideIt fails if earlier answers count

Cause: the test passed with the reset of the earlier answers taken out (overlay): the detector keeps nothing of a service before its first failure, so that the answer before the cut was not kept at all.

Change: a failure precedes the answer.

Measured: passes; with the reset taken out it fails, as TestDetectorFollowsTheLinks does.

--- a/rerouter/detector_test.go
+++ b/rerouter/detector_test.go
@@ -126,6 +126,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newLinks(2)
 		defer l.Close()
+		l.ObserveFailure(service, l.names[1], time.Now())
 		l.request(l.names[0])
 		l.set(true, l.names...)
 		for _, server := range l.names {
