fix: a death is known to all instances without the store

Cause: all but the eight instances before it in the ring learned of a death from the store only. The ring is in the order of names, so those eight are mostly of one failure domain; whatever kept them from the store kept the death from all.

Evidence: eight PC1905 and eight PC1930, all in the domain that was cut off from the store, no PC1929, no gap in the answers.

Who hears of another verdict probes for itself and passes on what that showed, so that a wrong one stops at those that were told; a return spreads alike. PC1905 names on whose word (saidBy), PC1931 to PC1934 are new. Builds before ignore the field and answer 404; an answer to a probe stays under their 4 KB.

--- /dev/null
+++ b/disseminator/fleet_test.go
@@ -0,0 +1,250 @@
+package disseminator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/disseminator"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/prober"
+)
+
+const (
+	// deathBound is the time after which no look-up may name an instance that has ended.
+	deathBound = 7 * time.Second
+	// returnBound is the time after which an instance that answers again is named again.
+	returnBound = 2 * time.Second
+	domains     = 4
+	// delay is that of a message between two instances.
+	delay = 35 * time.Millisecond
+)
+
+var errCut = errors.New("the two instances are cut off from each other")
+
+// fleet is a fleet of instances that exchange messages, and have no store.
+type fleet struct {
+	all     []namer.Instance
+	members map[string]*member
+
+	mu      sync.Mutex
+	isDown  map[string]bool
+	isCut   map[[2]string]bool
+	checked map[string]int
+}
+
+// member is one instance.
+type member struct {
+	*prober.Prober
+	disseminator *disseminator.Disseminator
+	incarnation  uint64
+}
+
+// play runs a fleet until the test returns.
+func play(t *testing.T, n int, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{members: map[string]*member{}, isDown: map[string]bool{}, isCut: map[[2]string]bool{}, checked: map[string]int{}}
+		for i := range n {
+			domain := i * domains / n
+			f.all = append(f.all, namer.Instance{ID: fmt.Sprintf("entry-%03d", i), Incarnation: 1, FailureDomain: fmt.Sprintf("domain-%d", domain)})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for _, i := range f.all {
+			m := f.add(i)
+			running.Go(func() { _ = m.Run(ctx) })
+			running.Go(func() { _ = m.disseminator.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		test(f)
+		cancel()
+		running.Wait()
+	})
+}
+
+// add adds an instance.
+func (f *fleet) add(i namer.Instance) *member {
+	m := &member{incarnation: i.Incarnation}
+	m.Prober = prober.New(prober.Config{
+		Self: i.ID, Domain: i.FailureDomain, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
+		Probe:     func(ctx context.Context, to namer.Instance) (prober.State, error) { return f.probe(ctx, i, to) },
+		OnVerdict: func(v prober.Verdict) { m.disseminator.Tell(v) },
+	})
+	m.disseminator = disseminator.New(disseminator.Config{
+		Peers: func() []namer.Instance { return f.peers(i, m) }, Holds: m.Holds, Log: slog.New(slog.DiscardHandler),
+		Send: func(ctx context.Context, to namer.Instance, verdicts []prober.Verdict) error {
+			if err := f.deliver(ctx, i, to); err != nil {
+				return err
+			}
+			f.members[to.ID].Hear(i.ID, verdicts)
+			return nil
+		},
+	})
+	m.SetInstances(f.all)
+	f.members[i.ID] = m
+	return m
+}
+
+// peers returns the instances that serve requests in the view of one of them.
+func (f *fleet) peers(self namer.Instance, m *member) []namer.Instance {
+	var peers []namer.Instance
+	for _, i := range f.all {
+		if i.ID != self.ID && !m.IsDead(i) {
+			peers = append(peers, i)
+		}
+	}
+	return peers
+}
+
+// deliver takes a message to an instance. An instance that is down, or cut off, is silent.
+func (f *fleet) deliver(ctx context.Context, from, to namer.Instance) error {
+	time.Sleep(delay)
+	f.mu.Lock()
+	isLost := f.isDown[to.ID] || f.isDown[from.ID] || f.isCut[[2]string{from.ID, to.ID}]
+	f.mu.Unlock()
+	if isLost {
+		<-ctx.Done()
+		return errCut
+	}
+	return nil
+}
+
+func (f *fleet) probe(ctx context.Context, from, to namer.Instance) (prober.State, error) {
+	f.mu.Lock()
+	f.checked[to.ID]++
+	f.mu.Unlock()
+	if err := f.deliver(ctx, from, to); err != nil {
+		return prober.State{}, err
+	}
+	other := f.members[to.ID]
+	f.members[from.ID].Hear(to.ID, other.disseminator.Shown())
+	time.Sleep(delay)
+	return prober.State{Incarnation: other.incarnation, IsReady: true}, nil
+}
+
+// setDown makes instances silent, or lets them answer again.
+func (f *fleet) setDown(isDown bool, down ...namer.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range down {
+		f.isDown[i.ID] = isDown
+	}
+}
+
+// cut cuts what one instance sends to another.
+func (f *fleet) cut(from, to namer.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isCut[[2]string{from.ID, to.ID}] = true
+}
+
+// probesOf returns how often an instance was probed.
+func (f *fleet) probesOf(i namer.Instance) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.checked[i.ID]
+}
+
+// believers returns how many of the instances that are up take another one for dead.
+func (f *fleet) believers(dead namer.Instance) int {
+	count := 0
+	for _, i := range f.all {
+		f.mu.Lock()
+		isUp := !f.isDown[i.ID]
+		f.mu.Unlock()
+		if isUp && i.ID != dead.ID && f.members[i.ID].IsDead(dead) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a death that only the neighbours in the ring know as long as the store does
+// not tell the others.
+func TestADeathIsKnownToAllWithoutTheStore(t *testing.T) {
+	for _, n := range []int{12, 60, 300} {
+		play(t, n, func(f *fleet) {
+			dead := f.all[n/2]
+			f.setDown(true, dead)
+			time.Sleep(deathBound)
+			require.Equal(t, n-1, f.believers(dead), "of %d", n)
+		})
+	}
+}
+
+// Guards against look-ups that leave out a live instance because one other does not reach it.
+func TestAWrongVerdictDoesNotSpread(t *testing.T) {
+	play(t, 60, func(f *fleet) {
+		accused := f.all[30]
+		f.cut(f.all[29], accused)
+		f.cut(f.all[28], accused)
+		for range 40 {
+			time.Sleep(time.Second / 2)
+			require.LessOrEqual(t, f.believers(accused), 2)
+		}
+		require.Equal(t, 2, f.believers(accused))
+	})
+}
+
+// Guards against an instance that is probed with each answer that takes it for dead, because
+// some do not reach it: each other one checks it once in checkPause at most.
+func TestAWrongVerdictCausesFewProbes(t *testing.T) {
+	const (
+		n, accusers = 60, 10
+		span        = 20 * time.Second
+		checkPause  = 2 * time.Second
+	)
+	play(t, n, func(f *fleet) {
+		accused := f.all[n/2]
+		before := f.probesOf(accused)
+		time.Sleep(span)
+		usual := f.probesOf(accused) - before
+		for _, i := range f.all[n/2-accusers : n/2] {
+			f.cut(i, accused)
+		}
+		before = f.probesOf(accused)
+		time.Sleep(span)
+		require.LessOrEqual(t, f.probesOf(accused)-before, usual+n*int(span/checkPause))
+	})
+}
+
+// Guards against an instance that was paused, or has started again, and stays out of look-ups
+// after it answers: the store does not show its start.
+func TestAnInstanceThatAnswersAgainIsKnownToAll(t *testing.T) {
+	const n = 100
+	for _, incarnation := range []uint64{1, 2} {
+		play(t, n, func(f *fleet) {
+			paused := f.all[n/2]
+			f.setDown(true, paused)
+			time.Sleep(deathBound)
+			require.Equal(t, n-1, f.believers(paused))
+			f.members[paused.ID].incarnation = incarnation
+			f.setDown(false, paused)
+			time.Sleep(returnBound)
+			require.Zero(t, f.believers(paused))
+		})
+	}
+}
+
+// Guards against a cut between domains that leaves either side dead to the other for good.
+func TestADomainThatWasCutOffIsKnownToAllAgain(t *testing.T) {
+	const n = 60
+	play(t, n, func(f *fleet) {
+		lost := f.all[:n/domains]
+		f.setDown(true, lost...)
+		time.Sleep(4 * deathBound)
+		f.setDown(false, lost...)
+		time.Sleep(2 * returnBound)
+		for _, i := range f.all {
+			require.Zero(t, f.believers(i), i.ID)
+		}
+	})
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -23,6 +23,7 @@
 
 	"github.com/pollencrank/pollencrank/apportioner"
 	"github.com/pollencrank/pollencrank/dispatcher"
+	"github.com/pollencrank/pollencrank/disseminator"
 	"github.com/pollencrank/pollencrank/expirer"
 	"github.com/pollencrank/pollencrank/follower"
 	"github.com/pollencrank/pollencrank/forwarder"
@@ -146,6 +147,8 @@
 	prober      *prober.Prober
 	roster      *roster
 	remover     *remover.Remover
+	// disseminator tells other instances which ones count as dead here.
+	disseminator *disseminator.Disseminator
 	// state is the local copy of the store's collections; replicator keeps it up to
 	// date.
 	state      *replicator.State
@@ -207,7 +210,7 @@
 	h.prober = prober.New(prober.Config{
 		Self:              config.Self.ID,
 		Probe:             h.requestState,
-		OnDead:            func(context.Context, namer.Instance) { h.remover.Wake() },
+		OnVerdict:         h.verdictChanged,
 		Domain:            config.Self.FailureDomain,
 		ProbesMoreAtStart: h.asksForRestart,
 		OnChange:          h.roster.publish,
@@ -228,6 +231,7 @@
 	})
 	h.newFollowers()
 	h.remover = h.newRemover()
+	h.disseminator = h.newDisseminator()
 	return h
 }
 
@@ -298,6 +302,7 @@
 	h.tomb.Go(h.sweep)
 	h.goUntilStopped(h.prober.Run)
 	h.goUntilStopped(h.remover.Run)
+	h.goUntilStopped(h.disseminator.Run)
 	h.tomb.Go(h.publishAfterConfirmTime)
 	select {
 	case <-h.tomb.Dying():
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -179,6 +179,8 @@
 	// Uptime is for how long the instance has run, as a duration. It is empty in answers of
 	// earlier builds.
 	Uptime string `json:"uptime,omitempty"`
+	// Verdicts are those on instances that count as dead, or have until lately.
+	Verdicts []verdictRecord `json:"verdicts,omitempty"`
 }
 
 // peerPositions is the encoding of replicator.Positions between instances.
@@ -200,6 +202,7 @@
 			IsCutOff:    h.rerouter.IsAnyCutOff(),
 			Positions:   peerPositions(h.state.LatestRevisions()),
 			Uptime:      h.uptime().String(),
+			Verdicts:    encodeVerdicts(h.disseminator.Shown()),
 		})
 	})
 	routes.POST(suspectsPath, func(w http.ResponseWriter, r bunrouter.Request) error {
@@ -212,6 +215,7 @@
 		h.mergeSuspects(records, time.Now())
 		return nil
 	})
+	routes.POST(verdictsPath, h.serveVerdicts)
 	routes.POST(loansPath, h.serveLoan)
 	routes.GET(quotasPath, h.serveQuotas)
 	routes.POST(quotaLoansPath, h.serveQuotaLoan)
@@ -258,6 +262,7 @@
 	h.cutOffPeers.record(i.ID, state.IsCutOff, time.Now())
 	h.replicator.ObserveRevisions(i, replicator.Positions(state.Positions))
 	h.observeRestart(i, state)
+	h.prober.Hear(i.ID, decodeVerdicts(state.Verdicts))
 	return prober.State{Incarnation: state.Incarnation, IsStopping: state.IsStopping, IsReady: state.IsReady}, nil
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -3,29 +3,33 @@
 //
 // Each instance probes a few others: the next ones in a ring of all instances. An
 // instance that misses several probes in a row counts as dead. The prober's own
-// instance leaves the dead instance out of its answers at once and removes its
-// entry from the platform's store, through which all other instances learn of it.
-// An instance that is alive and finds its entry removed writes it again. The
-// number of probes per instance does not grow with the fleet.
+// instance leaves the dead instance out of its answers at once, tells others, and
+// removes its entry from the platform's store. The number of probes per instance does
+// not grow with the fleet.
+//
+// Others learn of the death from each other as well as from the store. The verdict of
+// another instance is a reason to probe, never a verdict by itself: one probe that is
+// not answered confirms it, and an answer refutes it. The same holds for the verdict that
+// an instance is not dead any more.
 //
 // # Usage
 //
-//	p := prober.New(prober.Config{Self: self, Probe: probe, OnDead: remove})
+//	p := prober.New(prober.Config{Self: self, Probe: probe, OnVerdict: tell})
 //	p.SetInstances(instances)
 //	err := p.Run(ctx)
+//	p.Hear("entry-2", verdicts)
 package prober
 
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/pollencrank/pollencrank/namer"
-	"github.com/pollencrank/pollencrank/recorder"
 )
 
 const (
@@ -78,8 +82,8 @@
 	Domain string
 	// Probe requests the state of an instance.
 	Probe func(ctx context.Context, instance namer.Instance) (State, error)
-	// OnDead is called for each instance that stops or that has become dead.
-	OnDead func(ctx context.Context, instance namer.Instance)
+	// OnVerdict is called when an instance has become dead, and when a dead one lives again.
+	OnVerdict func(v Verdict)
 	// ProbesMoreAtStart, if set, reports whether others than the neighbours are probed too at
 	// the start.
 	ProbesMoreAtStart func() bool
@@ -106,6 +110,10 @@
 	startAnswered map[string]bool
 	// results holds the last result of the probes of each instance.
 	results map[string]result
+	// checkedAt is when an instance was last probed because of another's verdict.
+	checkedAt map[string]time.Time
+	// heard are the instances to probe because of another's verdict.
+	heard chan hearsay
 	// wakeup starts a round of probes when the first instances are set.
 	wakeup chan struct{}
 }
@@ -125,7 +133,7 @@
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]misses{}, dead: map[string]uint64{}, readyByID: map[string]readiness{}, startAnswered: map[string]bool{}, results: map[string]result{}, wakeup: make(chan struct{}, 1)}
+	return &Prober{config: config, misses: map[string]misses{}, dead: map[string]uint64{}, readyByID: map[string]readiness{}, startAnswered: map[string]bool{}, results: map[string]result{}, checkedAt: map[string]time.Time{}, heard: make(chan hearsay, maxHeard), wakeup: make(chan struct{}, 1)}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
@@ -146,26 +154,16 @@
 			delete(p.misses, i.ID)
 		}
 	}
-	for id := range p.misses {
-		if !isListed[id] {
-			delete(p.misses, id)
-		}
-	}
-	for id := range p.results {
-		if !isListed[id] {
-			delete(p.results, id)
-		}
-	}
-	for id := range p.dead {
-		if !isListed[id] {
-			delete(p.dead, id)
-		}
-	}
-	for id := range p.readyByID {
-		if !isListed[id] {
-			delete(p.readyByID, id)
-		}
-	}
+	keepListed(p.misses, isListed)
+	keepListed(p.results, isListed)
+	keepListed(p.dead, isListed)
+	keepListed(p.readyByID, isListed)
+	keepListed(p.checkedAt, isListed)
+}
+
+// keepListed removes what is known of instances that are not listed.
+func keepListed[V any](known map[string]V, isListed map[string]bool) {
+	maps.DeleteFunc(known, func(id string, _ V) bool { return !isListed[id] })
 }
 
 // Wake starts a round of probes at once.
@@ -199,15 +197,14 @@
 func (p *Prober) IsDead(i namer.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	incarnation, dead := p.dead[i.ID]
-	return dead && incarnation == i.Incarnation
+	return p.isDead(i)
 }
 
 // Dead is an instance that counts as dead.
 type Dead struct {
 	namer.Instance
 	// Rank is the number of live instances between this instance and the dead one in the
-	// ring, up to the number of neighbours that are probed.
+	// ring.
 	Rank int
 }
 
@@ -221,11 +218,11 @@
 	var dead []Dead
 	live := 0
 	for _, i := range p.ring() {
-		if incarnation, isDead := p.dead[i.ID]; !isDead || incarnation != i.Incarnation {
+		if !p.isDead(i) {
 			live++
 			continue
 		}
-		dead = append(dead, Dead{Instance: i, Rank: min(live, probedNeighbours)})
+		dead = append(dead, Dead{Instance: i, Rank: live})
 	}
 	return dead
 }
@@ -253,193 +250,18 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case h := <-p.heard:
+			probes.Go(func() { p.check(ctx, h) })
+			continue
 		case <-ticker.C:
 		case <-p.wakeup:
 		}
 		p.forgetUnready(time.Now())
-		for _, i := range p.probeTargets() {
-			probes.Go(func() { p.probe(ctx, i) })
+		for _, t := range p.probeTargets() {
+			probes.Go(func() { p.probe(ctx, t) })
 		}
 		for _, i := range p.startTargets() {
 			probes.Go(func() { p.probeAtStart(ctx, i) })
 		}
 	}
 }
-
-// probeTargets returns the instances to probe: the next probedNeighbours live ones after
-// this instance in the ring, all dead ones, which may have recovered, and one of another
-// failure domain.
-func (p *Prober) probeTargets() []namer.Instance {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var targets []namer.Instance
-	live := 0
-	for _, i := range p.ring() {
-		_, isDead := p.dead[i.ID]
-		if !isDead {
-			live++
-		}
-		if isDead || live <= probedNeighbours {
-			targets = append(targets, i)
-		}
-	}
-	return p.addDistantTarget(targets)
-}
-
-// startTargets returns further instances to probe at the start, at random: their answers say
-// whether they have just started too.
-func (p *Prober) startTargets() []namer.Instance {
-	if p.config.ProbesMoreAtStart == nil || !p.config.ProbesMoreAtStart() {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.startRounds >= maxStartRounds || len(p.instances) == 0 {
-		return nil
-	}
-	p.startRounds++
-	var targets []namer.Instance
-	for _, n := range rand.Perm(len(p.instances)) {
-		if i := p.instances[n]; !p.startAnswered[i.ID] && i.ID != p.config.Self && len(targets) < maxStartTargets {
-			targets = append(targets, i)
-		}
-	}
-	return targets
-}
-
-// probeAtStart probes an instance once. A missing answer does not count: its neighbours
-// count those.
-func (p *Prober) probeAtStart(ctx context.Context, i namer.Instance) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	// Probe passes on what the instance says of its start.
-	_, err := p.config.Probe(probeCtx, i)
-	if err != nil {
-		p.config.Log.Debug("an instance does not answer after the start", slog.String("instance", i.ID), slog.Any("error", err))
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.startAnswered[i.ID] = true
-}
-
-// addDistantTarget adds an instance of another failure domain, chosen at random in
-// each round: what the whole domain of this instance has missed, such as changes of
-// the store, shows only in answers from other domains. The lock is held.
-func (p *Prober) addDistantTarget(targets []namer.Instance) []namer.Instance {
-	isTarget := map[string]bool{}
-	for _, i := range targets {
-		isTarget[i.ID] = true
-	}
-	var distant []namer.Instance
-	for _, i := range p.instances {
-		if _, isDead := p.dead[i.ID]; i.FailureDomain != p.config.Domain && !isTarget[i.ID] && !isDead {
-			distant = append(distant, i)
-		}
-	}
-	if len(distant) == 0 {
-		return targets
-	}
-	return append(targets, distant[rand.IntN(len(distant))])
-}
-
-func (p *Prober) probe(ctx context.Context, i namer.Instance) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	beganAt := time.Now()
-	state, err := p.config.Probe(probeCtx, i)
-	if ctx.Err() != nil {
-		return
-	}
-	p.recordResult(i, err == nil)
-	if err == nil && state.isServing(i) {
-		p.recordAnswer(i, state.IsReady)
-		return
-	}
-	p.recordMiss(ctx, i, beganAt, err == nil && state.IsStopping)
-}
-
-// result is whether the last probe of an instance was answered, and when it ended.
-type result struct {
-	isAnswered bool
-	at         time.Time
-}
-
-func (p *Prober) recordResult(i namer.Instance, isAnswered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.results[i.ID] = result{isAnswered: isAnswered, at: time.Now()}
-}
-
-// MayBeIsolated reports whether so many of the instances that were probed lately have not
-// answered that this one may be isolated, alone or together with the others.
-func (p *Prober) MayBeIsolated() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	probed, failed := 0, 0
-	for _, r := range p.results {
-		if time.Since(r.at) > resultMemory {
-			continue
-		}
-		probed++
-		if !r.isAnswered {
-			failed++
-		}
-	}
-	return failed > 0 && float64(failed) >= maxFailedShare*float64(probed)
-}
-
-func (p *Prober) recordAnswer(i namer.Instance, isReady bool) {
-	p.mu.Lock()
-	delete(p.misses, i.ID)
-	_, wasDead := p.dead[i.ID]
-	delete(p.dead, i.ID)
-	before, hasAnswered := p.readyByID[i.ID]
-	p.readyByID[i.ID] = readiness{isReady, time.Now()}
-	p.mu.Unlock()
-	if wasDead || !hasAnswered || before.isReady != isReady {
-		p.config.OnChange()
-	}
-}
-
-// forgetUnready takes instances for ready again that said otherwise and were not probed since
-// for a while: they may have come to be neighbours of others only.
-func (p *Prober) forgetUnready(now time.Time) {
-	p.mu.Lock()
-	hasChanged := false
-	for id, r := range p.readyByID {
-		if _, isDead := p.dead[id]; !isDead && !r.isReady && now.Sub(r.saidAt) >= unreadyMemory {
-			p.readyByID[id] = readiness{true, now}
-			hasChanged = true
-		}
-	}
-	p.mu.Unlock()
-	if hasChanged {
-		p.config.OnChange()
-	}
-}
-
-// recordMiss counts a failed probe. Rounds can be woken one right after the other; their
-// probes tell no more than one. An instance that reports that it is stopping counts as dead
-// at once.
-func (p *Prober) recordMiss(ctx context.Context, i namer.Instance, beganAt time.Time, isStopping bool) {
-	p.mu.Lock()
-	missed := p.misses[i.ID]
-	if missed.count == 0 || beganAt.Sub(missed.lastBeganAt) >= minMissInterval {
-		missed = misses{missed.count + 1, beganAt}
-		p.misses[i.ID] = missed
-	}
-	incarnation, wasDead := p.dead[i.ID]
-	isNewlyDead := (missed.count >= deadAfterMisses || isStopping) && (!wasDead || incarnation != i.Incarnation)
-	if isNewlyDead {
-		p.dead[i.ID] = i.Incarnation
-	}
-	p.mu.Unlock()
-	if !isNewlyDead {
-		return
-	}
-	p.config.Log.Warn("an instance counts as dead: it is stopping or does not answer probes", recorder.EventInstanceUnreachable.Attr(),
-		slog.String("instance", i.ID), slog.Bool("stopping", isStopping), slog.Int("misses", missed.count))
-	p.config.OnChange()
-	p.config.OnDead(ctx, i)
-}
--- /dev/null
+++ b/prober/verdict.go
@@ -0,0 +1,231 @@
+package prober
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/recorder"
+)
+
+// Verdict is whether an instance counts as dead.
+type Verdict struct {
+	// Instance is the ID of the instance, and Incarnation the start of it that is meant.
+	Instance    string
+	Incarnation uint64
+	IsDead      bool
+}
+
+const (
+	// maxHeard is the number of instances that wait to be probed because of verdicts of
+	// others. Further ones are probed when their verdict is heard again.
+	maxHeard = 64
+	// checkPause is the shortest time between two probes of an instance because of
+	// verdicts of others.
+	checkPause = 2 * time.Second
+)
+
+// hearsay is an instance on which another one has a different verdict.
+type hearsay struct {
+	namer.Instance
+	from   string
+	isDead bool
+}
+
+// Hear handles verdicts of another instance: the instances on which this one has another
+// verdict are probed.
+func (p *Prober) Hear(from string, verdicts []Verdict) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range verdicts {
+		i, isListed := p.find(v.Instance)
+		if !isListed || v.Instance == p.config.Self || v.Incarnation < i.Incarnation || p.isDead(i) == v.IsDead {
+			continue
+		}
+		if checkedAt, isChecked := p.checkedAt[i.ID]; isChecked && now.Sub(checkedAt) < checkPause {
+			continue
+		}
+		select {
+		case p.heard <- hearsay{Instance: i, from: from, isDead: v.IsDead}:
+			p.checkedAt[i.ID] = now
+		default:
+			return
+		}
+	}
+}
+
+// Holds reports whether this instance has a verdict on an instance that is listed.
+func (p *Prober) Holds(v Verdict) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, isListed := p.find(v.Instance)
+	return isListed && v.Incarnation >= i.Incarnation && p.isDead(i) == v.IsDead
+}
+
+// find returns the listed instance with an ID. The lock is held.
+func (p *Prober) find(id string) (namer.Instance, bool) {
+	n, isListed := slices.BinarySearchFunc(p.instances, id, func(i namer.Instance, id string) int {
+		return strings.Compare(i.ID, id)
+	})
+	if !isListed {
+		return namer.Instance{}, false
+	}
+	return p.instances[n], true
+}
+
+// isDead reports whether an incarnation of an instance counts as dead. The lock is held.
+func (p *Prober) isDead(i namer.Instance) bool {
+	incarnation, isDead := p.dead[i.ID]
+	return isDead && incarnation == i.Incarnation
+}
+
+// check probes an instance once because of another's verdict.
+func (p *Prober) check(ctx context.Context, h hearsay) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	state, err := p.config.Probe(probeCtx, h.Instance)
+	switch {
+	case ctx.Err() != nil:
+	case err == nil && state.isServing(h.Instance):
+		if h.isDead {
+			p.config.Log.Info("an instance that another one takes for dead answers", recorder.EventVerdictRefuted.Attr(),
+				slog.String("instance", h.ID), slog.String("saidBy", h.from))
+		}
+		p.recordAnswer(h.Instance, state.IsReady, h.from)
+	case h.isDead:
+		p.setDead(h.Instance, cause{saidBy: h.from, isStopping: err == nil && state.IsStopping})
+	}
+}
+
+// probe probes an instance and counts the result.
+func (p *Prober) probe(ctx context.Context, t target) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	beganAt := time.Now()
+	state, err := p.config.Probe(probeCtx, t.Instance)
+	if ctx.Err() != nil {
+		return
+	}
+	if !t.isDistantDead {
+		p.recordResult(t.Instance, err == nil)
+	}
+	if err == nil && state.isServing(t.Instance) {
+		p.recordAnswer(t.Instance, state.IsReady, "")
+		return
+	}
+	p.recordMiss(t.Instance, beganAt, err == nil && state.IsStopping)
+}
+
+// recordAnswer records that an instance serves. saidBy is the instance that caused the probe,
+// if one did.
+func (p *Prober) recordAnswer(i namer.Instance, isReady bool, saidBy string) {
+	p.mu.Lock()
+	delete(p.misses, i.ID)
+	_, wasDead := p.dead[i.ID]
+	delete(p.dead, i.ID)
+	before, hasAnswered := p.readyByID[i.ID]
+	p.readyByID[i.ID] = readiness{isReady, time.Now()}
+	p.mu.Unlock()
+	if wasDead {
+		p.config.Log.Info("an instance that counted as dead answers again", recorder.EventInstanceBack.Attr(),
+			slog.String("instance", i.ID), slog.String("saidBy", saidBy))
+		p.config.OnVerdict(Verdict{Instance: i.ID, Incarnation: i.Incarnation})
+	}
+	if wasDead || !hasAnswered || before.isReady != isReady {
+		p.config.OnChange()
+	}
+}
+
+// forgetUnready takes instances for ready again that said otherwise and were not probed since
+// for a while: they may have come to be neighbours of others only.
+func (p *Prober) forgetUnready(now time.Time) {
+	p.mu.Lock()
+	hasChanged := false
+	for id, r := range p.readyByID {
+		if _, isDead := p.dead[id]; !isDead && !r.isReady && now.Sub(r.saidAt) >= unreadyMemory {
+			p.readyByID[id] = readiness{true, now}
+			hasChanged = true
+		}
+	}
+	p.mu.Unlock()
+	if hasChanged {
+		p.config.OnChange()
+	}
+}
+
+// recordMiss counts a failed probe. Rounds can be woken one right after the other; their
+// probes tell no more than one. An instance that reports that it is stopping counts as dead
+// at once.
+func (p *Prober) recordMiss(i namer.Instance, beganAt time.Time, isStopping bool) {
+	p.mu.Lock()
+	missed := p.misses[i.ID]
+	if missed.count == 0 || beganAt.Sub(missed.lastBeganAt) >= minMissInterval {
+		missed = misses{missed.count + 1, beganAt}
+		p.misses[i.ID] = missed
+	}
+	p.mu.Unlock()
+	if missed.count >= deadAfterMisses || isStopping {
+		p.setDead(i, cause{isStopping: isStopping, misses: missed.count})
+	}
+}
+
+// cause is why an instance counts as dead.
+type cause struct {
+	// saidBy is the instance whose verdict a probe has confirmed.
+	saidBy     string
+	isStopping bool
+	misses     int
+}
+
+// setDead makes an instance count as dead, unless it does already or is not listed any more.
+func (p *Prober) setDead(i namer.Instance, because cause) {
+	p.mu.Lock()
+	listed, isListed := p.find(i.ID)
+	isNew := isListed && listed.Incarnation == i.Incarnation && !p.isDead(i)
+	if isNew {
+		p.dead[i.ID] = i.Incarnation
+	}
+	p.mu.Unlock()
+	if !isNew {
+		return
+	}
+	p.config.Log.Warn("an instance counts as dead: it is stopping or does not answer probes", recorder.EventInstanceUnreachable.Attr(),
+		slog.String("instance", i.ID), slog.Bool("stopping", because.isStopping), slog.Int("misses", because.misses),
+		slog.String("saidBy", because.saidBy))
+	p.config.OnChange()
+	p.config.OnVerdict(Verdict{Instance: i.ID, Incarnation: i.Incarnation, IsDead: true})
+}
+
+// result is whether the last probe of an instance was answered, and when it ended.
+type result struct {
+	isAnswered bool
+	at         time.Time
+}
+
+func (p *Prober) recordResult(i namer.Instance, isAnswered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[i.ID] = result{isAnswered: isAnswered, at: time.Now()}
+}
+
+// MayBeIsolated reports whether so many of the instances that were probed lately have not
+// answered that this one may be isolated, alone or together with the others.
+func (p *Prober) MayBeIsolated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	probed, failed := 0, 0
+	for _, r := range p.results {
+		if time.Since(r.at) > resultMemory {
+			continue
+		}
+		probed++
+		if !r.isAnswered {
+			failed++
+		}
+	}
+	return failed > 0 && float64(failed) >= maxFailedShare*float64(probed)
+}
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -82,6 +82,10 @@
 	EventServerProbed          Event = 1928
 	EventInstanceRemoved       Event = 1929
 	EventRemovalFailed         Event = 1930
+	EventInstanceBack          Event = 1931
+	EventVerdictRefuted        Event = 1932
+	EventVerdictNotSent        Event = 1933
+	EventVerdictMalformed      Event = 1934
 	EventQuotaSpent            Event = 1941
 	EventQuotaFree             Event = 1942
 	EventQuotaLoanFailed       Event = 1943
@@ -138,7 +142,7 @@
 		{EventHistoryGone, slog.LevelWarn, "Changes of the store were lost; the collection is listed again."},
 		{EventDomainEvacuated, slog.LevelInfo, "The operator empties a failure domain; its servers get nothing."},
 		{EventDomainRestored, slog.LevelInfo, "A failure domain is in use again; its servers count as cold at first."},
-		{EventInstanceUnreachable, slog.LevelWarn, "An instance does not answer this one any more; look-ups do not name it."},
+		{EventInstanceUnreachable, slog.LevelWarn, "An instance does not answer this one any more; look-ups do not name it. saidBy names the instance whose word caused the probe."},
 		{EventSettingsReloaded, slog.LevelInfo, "Changed settings are in force."},
 		{EventSettingsInvalid, slog.LevelError, "Changed settings are faulty; the previous ones stay."},
 		{EventRequestRetried, slog.LevelInfo, "An attempt failed and the request goes to another backend server, or through another instance."},
@@ -164,6 +168,10 @@
 		{EventServerProbed, slog.LevelInfo, "An unreachable backend server was probed, because other instances use up what a cold one may get; isBack says whether it answered."},
 		{EventInstanceRemoved, slog.LevelInfo, "The entry of a dead instance was removed from the store; soon no look-up of the fleet names it."},
 		{EventRemovalFailed, slog.LevelWarn, "The entry of a dead instance could not be removed from the store yet; other instances may still name it."},
+		{EventInstanceBack, slog.LevelInfo, "An instance that counted as dead answers again; look-ups name it. saidBy names the instance whose word caused the probe."},
+		{EventVerdictRefuted, slog.LevelInfo, "Another instance takes one for dead that answers this one; nothing changes here."},
+		{EventVerdictNotSent, slog.LevelInfo, "Another instance could not be told which instances count as dead; it learns of them from others."},
+		{EventVerdictMalformed, slog.LevelWarn, "What another instance says of dead instances cannot be read and is ignored."},
 		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
 		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
 		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
