--- a/soaker/removal.go
+++ b/soaker/removal.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 	removalPollInterval = 250 * time.Millisecond
 	// removalOutage is how long the store is away at least.
 	removalOutage = 1500 * time.Millisecond
+	// ringNeighbours is the number of instances that notice the end of one by themselves.
+	ringNeighbours = 8
 )
 
 // removeInOutage ends an instance while the store is away, and checks that the others stop
@@ -51,6 +54,42 @@
 	s.restart(ctx, p, 0)
 }
 
+// killUnreported kills an instance whose neighbours in the ring are cut off from the store, and
+// checks that the others, which are not disturbed, stop naming it.
+func (s *soak) killUnreported(ctx context.Context, _ time.Duration, choice uint64) {
+	p := s.pickInstance(choice)
+	if !s.unreported.TryLock() {
+		return
+	}
+	defer s.unreported.Unlock()
+	if !s.claimInstance(p) {
+		return
+	}
+	defer s.releaseInstance(p)
+	neighbours := s.ringBefore(p, ringNeighbours)
+	for _, n := range neighbours {
+		n.disturbances.add(time.Now().Add(maxRemovalCheck + removalCheckSpan + recoveryTime))
+		n.store.setState(linkState{HoldsForward: true, HoldsBackward: true})
+	}
+	p.disturbances.add(time.Now().Add(maxRemovalCheck + removalCheckSpan + recoveryTime))
+	p.signal(syscall.SIGKILL)
+	p.awaitExit(exitTimeout)
+	s.checkRemoval(ctx, p, time.Now())
+	for _, n := range neighbours {
+		n.store.setState(linkState{})
+	}
+	s.restart(ctx, p, 0)
+}
+
+// ringBefore returns the n instances before one in the ring, which is in the order of IDs.
+func (s *soak) ringBefore(p *process, n int) []*process {
+	ring := slices.Clone(s.instances)
+	slices.SortFunc(ring, func(a, b *process) int { return cmp.Compare(a.id, b.id) })
+	own := slices.Index(ring, p)
+	before := slices.Concat(ring[own+1:], ring[:own])
+	return before[max(0, len(before)-n):]
+}
+
 // outageOf returns an outage: the store refuses calls, or does not answer them.
 func outageOf(choice uint64) imitator.StoreFaults {
 	if choice>>33%2 == 0 {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -101,7 +101,9 @@
 	// configuring makes versions reach the store in their order. It guards tenants, which are
 	// those of the newest version.
 	configuring sync.Mutex
-	tenants     []imitator.TenantConfig
+	// unreported is held while an instance is killed whose neighbours are cut off from the store.
+	unreported sync.Mutex
+	tenants    []imitator.TenantConfig
 
 	mu             sync.Mutex
 	servers        []*backend
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -92,7 +92,7 @@
 	return []faultKind{
 		{"invalidStatus", s.misbehave(imitator.Misbehaviour{WithoutStatus: 0.3})},
 		{"malformedNames", s.misbehave(imitator.Misbehaviour{Misnamed: 0.3})},
-		{"removedInOutage", s.removeInOutage},
+		{"removedInOutage", s.removeInOutage}, {"killedUnreported", s.killUnreported},
 		{"crashBeforeAnswer", s.poison(imitator.CrashBeforeAnswer)},
 		{"crashInAnswer", s.poison(imitator.CrashInAnswer)},
 		{"crashInLongAnswer", s.poison(imitator.CrashInLongAnswer)},
