fix: instances that fail together are noticed together

What callers saw: 120 real processes, the 20 of one failure domain killed at once, the store up: 379 of 40,000 answers later than 7 s after the kill named one of them (349 with deaths told from instance to instance), up to 8.4 s after it.

Cause: a domain is one stretch of the ring. Its predecessors probe the next eight that do not count as dead, and the ninth only once those eight have missed three probes.

Evidence: the last namings come in three groups about 2.7 s apart, in the order of the ring.

Change: a neighbour that has just begun to miss probes makes its prober look two further, 32 at most, until it counts as dead or answers.

TestTheLossOfADomainIsKnownToAllInTime fails without the change.

--- a/disseminator/fleet_test.go
+++ b/disseminator/fleet_test.go
@@ -180,6 +180,19 @@
 	}
 }
 
+// Guards against instances that fail together and that come to be probed eight at a time.
+func TestTheLossOfADomainIsKnownToAllInTime(t *testing.T) {
+	const n = 100
+	play(t, n, func(f *fleet) {
+		lost := f.all[n/domains : 2*n/domains]
+		f.setDown(true, lost...)
+		time.Sleep(deathBound)
+		for _, dead := range lost {
+			require.Equal(t, n-len(lost), f.believers(dead), dead.ID)
+		}
+	})
+}
+
 // Guards against look-ups that leave out a live instance because one other does not reach it.
 func TestAWrongVerdictDoesNotSpread(t *testing.T) {
 	play(t, 60, func(f *fleet) {
--- a/prober/targets.go
+++ b/prober/targets.go
@@ -8,9 +8,15 @@
 	"github.com/pollencrank/pollencrank/namer"
 )
 
-// distantDeadProbes is the number of instances of the whole fleet that probe a dead one in
-// a round, besides its neighbours.
-const distantDeadProbes = 16
+const (
+	// distantDeadProbes is the number of instances of the whole fleet that probe a dead one
+	// in a round, besides its neighbours.
+	distantDeadProbes = 16
+	// furtherPerMiss is the number of further neighbours that are probed for each one that has
+	// missed a probe lately, and maxFurther the largest number of them.
+	furtherPerMiss = 2
+	maxFurther     = 32
+)
 
 // target is an instance to probe.
 type target struct {
@@ -19,22 +25,28 @@
 	isDistantDead bool
 }
 
-// probeTargets returns the instances to probe: the next probedNeighbours live ones after
-// this instance in the ring, the dead ones before them, which may have recovered, at times
-// further dead ones, and one of another failure domain.
+// probeTargets returns the instances to probe: the next probedNeighbours after this
+// instance in the ring that have answered their last probe, those before them that have
+// not, at times further dead ones, which may have recovered, and one of another failure
+// domain. Neighbours that have just begun to miss probes make it look further, so that many
+// that fail together are noticed together.
 func (p *Prober) probeTargets() []target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var targets []target
-	live := 0
+	answering, missing := 0, 0
 	for _, i := range p.ring() {
 		_, isDead := p.dead[i.ID]
-		isWatched := live < probedNeighbours
+		isWatched := answering < probedNeighbours+min(furtherPerMiss*missing, maxFurther)
 		if isWatched || isDead && p.isDistantDeadDue() {
 			targets = append(targets, target{i, !isWatched})
 		}
-		if !isDead {
-			live++
+		switch {
+		case isDead:
+		case p.misses[i.ID].count > 0:
+			missing++
+		default:
+			answering++
 		}
 	}
 	return p.addDistantTarget(targets)
