--- a/disseminator/disseminator.go
+++ b/disseminator/disseminator.go
@@ -32,7 +32,7 @@
 const (
 	// interval is the time between two rounds of messages. What the store tells all within
 	// that time is not sent.
-	interval = 400 * time.Millisecond
+	interval = 300 * time.Millisecond
 	// fanout is the number of instances that are told in a round.
 	fanout = 4
 	// MaxVerdicts is the largest number of verdicts in a message. Further ones follow in
--- /dev/null
+++ b/disseminator/disseminator_test.go
@@ -0,0 +1,52 @@
+package disseminator_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencrank/pollencrank/disseminator"
+	"github.com/pollencrank/pollencrank/namer"
+	"github.com/pollencrank/pollencrank/prober"
+)
+
+// Guards against a message that its receiver cuts off, and against verdicts that are dropped
+// because there are too many for one message.
+func TestManyVerdictsGoInSeveralMessages(t *testing.T) {
+	const count = 2*disseminator.MaxVerdicts + 10
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		sent := map[string]int{}
+		d := disseminator.New(disseminator.Config{
+			Peers: func() []namer.Instance { return []namer.Instance{{ID: "entry-0"}} },
+			Holds: func(v prober.Verdict) bool { return v.Instance != "retracted" },
+			Send: func(_ context.Context, _ namer.Instance, verdicts []prober.Verdict) error {
+				mu.Lock()
+				defer mu.Unlock()
+				require.LessOrEqual(t, len(verdicts), disseminator.MaxVerdicts)
+				for _, v := range verdicts {
+					sent[v.Instance]++
+				}
+				return nil
+			},
+			Log: slog.New(slog.DiscardHandler),
+		})
+		d.Tell(prober.Verdict{Instance: "retracted", IsDead: true})
+		for i := range count {
+			d.Tell(prober.Verdict{Instance: fmt.Sprintf("entry-%d", i+1), IsDead: true})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		require.ErrorIs(t, d.Run(ctx), context.DeadlineExceeded)
+		require.Len(t, sent, count)
+		for id, times := range sent {
+			require.Equal(t, 1, times, id)
+		}
+	})
+}
--- a/disseminator/fleet_test.go
+++ b/disseminator/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,11 @@
 	deathBound = 7 * time.Second
 	// returnBound is the time after which an instance that answers again is named again.
 	returnBound = 2 * time.Second
-	domains     = 4
+	// pollInterval is the time between two looks at who knows.
+	pollInterval = 50 * time.Millisecond
+	domains      = 4
+	// startSpread is the time in which the instances start.
+	startSpread = time.Second
 	// delay is that of a message between two instances.
 	delay = 35 * time.Millisecond
 )
@@ -38,6 +43,8 @@
 	isDown  map[string]bool
 	isCut   map[[2]string]bool
 	checked map[string]int
+	// sent is the number of messages of verdicts.
+	sent int
 }
 
 // member is one instance.
@@ -58,10 +65,20 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
+		random := rand.New(rand.NewPCG(1, uint64(n)))
 		for _, i := range f.all {
-			m := f.add(i)
-			running.Go(func() { _ = m.Run(ctx) })
-			running.Go(func() { _ = m.disseminator.Run(ctx) })
+			f.add(i)
+		}
+		for _, m := range f.members {
+			offset := time.Duration(random.Int64N(int64(startSpread)))
+			running.Go(func() {
+				time.Sleep(offset)
+				_ = m.Run(ctx)
+			})
+			running.Go(func() {
+				time.Sleep(offset)
+				_ = m.disseminator.Run(ctx)
+			})
 		}
 		time.Sleep(5 * time.Second)
 		test(f)
@@ -71,7 +88,7 @@
 }
 
 // add adds an instance.
-func (f *fleet) add(i namer.Instance) *member {
+func (f *fleet) add(i namer.Instance) {
 	m := &member{incarnation: i.Incarnation}
 	m.Prober = prober.New(prober.Config{
 		Self: i.ID, Domain: i.FailureDomain, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
@@ -81,6 +98,7 @@
 	m.disseminator = disseminator.New(disseminator.Config{
 		Peers: func() []namer.Instance { return f.peers(i, m) }, Holds: m.Holds, Log: slog.New(slog.DiscardHandler),
 		Send: func(ctx context.Context, to namer.Instance, verdicts []prober.Verdict) error {
+			f.countMessage()
 			if err := f.deliver(ctx, i, to); err != nil {
 				return err
 			}
@@ -90,7 +108,6 @@
 	})
 	m.SetInstances(f.all)
 	f.members[i.ID] = m
-	return m
 }
 
 // peers returns the instances that serve requests in the view of one of them.
@@ -130,6 +147,12 @@
 	return prober.State{Incarnation: other.incarnation, IsReady: true}, nil
 }
 
+func (f *fleet) countMessage() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+}
+
 // setDown makes instances silent, or lets them answer again.
 func (f *fleet) setDown(isDown bool, down ...namer.Instance) {
 	f.mu.Lock()
@@ -170,12 +193,17 @@
 // Guards against a death that only the neighbours in the ring know as long as the store does
 // not tell the others.
 func TestADeathIsKnownToAllWithoutTheStore(t *testing.T) {
-	for _, n := range []int{12, 60, 300} {
+	for _, n := range []int{12, 30, 300, 650} {
 		play(t, n, func(f *fleet) {
 			dead := f.all[n/2]
 			f.setDown(true, dead)
-			time.Sleep(deathBound)
-			require.Equal(t, n-1, f.believers(dead), "of %d", n)
+			diedAt, questions := time.Now(), f.probesOf(dead)
+			for f.believers(dead) < n-1 {
+				time.Sleep(pollInterval)
+				require.LessOrEqual(t, time.Since(diedAt), deathBound, "%d of %d know", f.believers(dead), n)
+			}
+			t.Logf("%d instances: known to all after %s, %d messages, %d questions to the dead one",
+				n, time.Since(diedAt), f.sent, f.probesOf(dead)-questions)
 		})
 	}
 }
--- a/hoster/verdicts_test.go
+++ b/hoster/verdicts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencrank/pollencrank/platform/imitator"
+	"github.com/pollencrank/pollencrank/platform/wire"
 	"github.com/pollencrank/pollencrank/recorder"
 )
 
@@ -76,3 +79,31 @@
 	require.False(t, told.log.has(recorder.EventInstanceUnreachable))
 	require.Equal(t, http.StatusBadRequest, tell(`{"from":"entry-3","verdicts":[{"instance":`))
 }
+
+// Guards against an answer to a probe that builds before this one cannot read: they read 4 KiB.
+func TestAnAnswerToAProbeStaysSmall(t *testing.T) {
+	const (
+		dead     = 60
+		maxBytes = 4 << 10
+	)
+	s := newPlatformStore(t)
+	s.configure(t, 1, "/x/")
+	e := s.startRegistered(t, "entry-1")
+	closed := listen(t)
+	closed.Close()
+	for n := range dead {
+		require.NoError(t, s.Put(instancesKind, fmt.Sprintf("entry-in-a-failure-domain-with-a-long-name-of-64-characters-%03d", n), wire.Instance{
+			CallerAddress: closed.Addr().String(), PeerAddress: closed.Addr().String(), FailureDomain: e.FailureDomain, Region: e.Region,
+			Incarnation: math.MaxUint64,
+		}))
+	}
+	eventually(t, "an answer names dead instances", func() bool {
+		response, err := http.Get("http://" + e.PeerAddress + "/state")
+		require.NoError(t, err)
+		defer response.Body.Close()
+		answer, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(answer), maxBytes)
+		return strings.Count(string(answer), "isDead") >= 20
+	})
+}
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -26,6 +26,9 @@
 	// checkPause is the shortest time between two probes of an instance because of
 	// verdicts of others.
 	checkPause = 2 * time.Second
+	// checkTimeout is the timeout of such a probe. It is short, since the news waits for it,
+	// and others have made several probes before it.
+	checkTimeout = 500 * time.Millisecond
 )
 
 // hearsay is an instance on which another one has a different verdict.
@@ -85,7 +88,7 @@
 
 // check probes an instance once because of another's verdict.
 func (p *Prober) check(ctx context.Context, h hearsay) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	state, err := p.config.Probe(probeCtx, h.Instance)
 	switch {
--- a/soaker/removal.go
+++ b/soaker/removal.go
@@ -15,7 +15,7 @@
 const (
 	// removalBound is the time after the end of an instance after which no look-up names it.
 	removalBound = 7 * time.Second
-	// removalCheckSpan is how long look-ups are made from then on while the fleet is not
+	// removalCheckSpan is how long look-ups are checked from then on while the fleet is not
 	// disturbed. Disturbances delay them up to maxRemovalCheck after the end.
 	removalCheckSpan = 2 * time.Second
 	maxRemovalCheck  = 20 * time.Second
@@ -98,30 +98,37 @@
 	return imitator.StoreFaults{IsUnresponsive: true}
 }
 
-// checkRemoval checks for a while that look-ups do not name an instance that has ended. The
-// answers of instances that are disturbed do not count.
+// checkRemoval checks that look-ups do not name an instance that has ended, from removalBound
+// after its end on and for a while, and logs when the last one did. The answers of instances
+// that are disturbed do not count.
 func (s *soak) checkRemoval(ctx context.Context, ended *process, endedAt time.Time) {
 	client := &http.Client{Timeout: dialTimeout}
 	defer client.CloseIdleConnections()
-	sleep(ctx, time.Until(endedAt.Add(removalBound)))
-	until := time.Now().Add(removalCheckSpan)
+	until := endedAt.Add(removalBound + removalCheckSpan)
+	var lastNamed time.Duration
 	for ctx.Err() == nil && time.Now().Before(until) {
-		if s.ledger.disturbances.covers(time.Now()) && until.Before(endedAt.Add(maxRemovalCheck)) {
-			until = time.Now().Add(removalCheckSpan)
+		now := time.Now()
+		extended := now.Add(removalCheckSpan)
+		if s.ledger.disturbances.covers(now) && until.Before(endedAt.Add(maxRemovalCheck)) && until.Before(extended) {
+			until = extended
 		}
 		for _, asked := range s.instances {
 			askedAt := time.Now()
 			if asked == ended || s.ledger.disturbances.covers(askedAt) || asked.disturbances.covers(askedAt) {
 				continue
 			}
-			if s.names(ctx, client, asked, ended) {
-				s.ledger.reportViolation("a removed instance is not named", "%s names %s, which ended %s before",
-					asked.id, ended.id, askedAt.Sub(endedAt).Round(time.Millisecond))
+			if !s.names(ctx, client, asked, ended) {
+				continue
+			}
+			lastNamed = askedAt.Sub(endedAt).Round(time.Millisecond)
+			if lastNamed > removalBound {
+				s.ledger.reportViolation("a removed instance is not named", "%s names %s, which ended %s before", asked.id, ended.id, lastNamed)
 				return
 			}
 		}
 		sleep(ctx, removalPollInterval)
 	}
+	s.config.Log("an undisturbed instance last named %s %s after its end", ended.id, lastNamed)
 }
 
 // names reports whether the answer of an instance to a look-up names another one.
