--- a/hoster/suspects.go
+++ b/hoster/suspects.go
@@ -1,7 +1,6 @@
 package hoster
 
 import (
-	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -100,29 +99,13 @@
 func (b *suspectBroadcaster) sendTo(peer namer.Instance, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
 	defer cancel()
-	err := b.post(ctx, peer, body)
+	err := post(ctx, b.client, peer, suspectsPath, body)
 	if err != nil {
 		b.log.Warn("records of suspects could not be sent to an instance", recorder.EventRequestSuspected.Attr(),
 			slog.String("instance", peer.ID), slog.Any("error", err))
 	}
 }
 
-func (b *suspectBroadcaster) post(ctx context.Context, peer namer.Instance, body []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+suspectsPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := b.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", response.StatusCode)
-	}
-	return nil
-}
-
 // readSuspects decodes records that another instance sent.
 func readSuspects(body io.Reader) ([]isolator.Record, error) {
 	var message []suspectRecord
--- a/hoster/verdicts.go
+++ b/hoster/verdicts.go
@@ -1,10 +1,8 @@
 package hoster
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -72,19 +70,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.PeerAddress+verdictsPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := h.peers.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", response.StatusCode)
-	}
-	return nil
+	return post(ctx, h.peers, to, verdictsPath, body)
 }
 
 // serveVerdicts receives verdicts of another instance.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -45,10 +45,6 @@
 	// a round.
 	maxStartRounds  = 4
 	maxStartTargets = 64
-	// resultMemory is how long the result of a probe counts for MayBeIsolated, and maxFailedShare
-	// the share of failed ones from which on it reports true.
-	resultMemory   = 4 * time.Second
-	maxFailedShare = 0.25
 	// unreadyMemory is how long an instance counts as not ready after it last said so.
 	unreadyMemory = 4 * time.Second
 	// deadAfterMisses is the number of consecutive failed probes after which an
@@ -133,7 +129,17 @@
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{config: config, misses: map[string]misses{}, dead: map[string]uint64{}, readyByID: map[string]readiness{}, startAnswered: map[string]bool{}, results: map[string]result{}, checkedAt: map[string]time.Time{}, heard: make(chan hearsay, maxHeard), wakeup: make(chan struct{}, 1)}
+	return &Prober{
+		config:        config,
+		misses:        map[string]misses{},
+		dead:          map[string]uint64{},
+		readyByID:     map[string]readiness{},
+		startAnswered: map[string]bool{},
+		results:       map[string]result{},
+		checkedAt:     map[string]time.Time{},
+		heard:         make(chan hearsay, maxHeard),
+		wakeup:        make(chan struct{}, 1),
+	}
 }
 
 // SetInstances sets the instances of the fleet. A new incarnation of a dead
