fix: an instance that was not reached once is not left out for long

Cause: one probe without an answer confirms the verdict of another instance. If the prober itself stood still, or the packet was lost, a live instance stayed out of its look-ups until one of the 16 probes a round that the whole fleet makes happened to be its own: 17 s in the mean at 300 instances, by arithmetic.

Change: such an instance is probed in the next three rounds too.

Names besides: Receive, dispute, reportedBy in place of Hear, hearsay, saidBy.

--- a/disseminator/fleet_test.go
+++ b/disseminator/fleet_test.go
@@ -102,7 +102,7 @@
 			if err := f.deliver(ctx, i, to); err != nil {
 				return err
 			}
-			f.members[to.ID].Hear(i.ID, verdicts)
+			f.members[to.ID].Receive(i.ID, verdicts)
 			return nil
 		},
 	})
@@ -142,7 +142,7 @@
 		return prober.State{}, err
 	}
 	other := f.members[to.ID]
-	f.members[from.ID].Hear(to.ID, other.disseminator.Shown())
+	f.members[from.ID].Receive(to.ID, other.disseminator.Shown())
 	time.Sleep(delay)
 	return prober.State{Incarnation: other.incarnation, IsReady: true}, nil
 }
@@ -169,6 +169,13 @@
 	f.isCut[[2]string{from.ID, to.ID}] = true
 }
 
+// mend ends all cuts.
+func (f *fleet) mend() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.isCut)
+}
+
 // probesOf returns how often an instance was probed.
 func (f *fleet) probesOf(i namer.Instance) int {
 	f.mu.Lock()
@@ -235,6 +242,24 @@
 	})
 }
 
+// Guards against a live instance that some leave out for long, because they did not reach it in
+// the moment in which they learned of a wrong verdict.
+func TestAWrongVerdictIsTakenBackSoon(t *testing.T) {
+	const n, hasty = 300, 20
+	play(t, n, func(f *fleet) {
+		accused := f.all[n/2]
+		for _, i := range f.all[:hasty] {
+			f.cut(i, accused)
+			f.members[i.ID].Receive("entry-299", []prober.Verdict{{Instance: accused.ID, Incarnation: accused.Incarnation, IsDead: true}})
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, hasty, f.believers(accused))
+		f.mend()
+		time.Sleep(returnBound)
+		require.Zero(t, f.believers(accused))
+	})
+}
+
 // Guards against an instance that is probed with each answer that takes it for dead, because
 // some do not reach it: each other one checks it once in checkPause at most.
 func TestAWrongVerdictCausesFewProbes(t *testing.T) {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -122,7 +122,7 @@
 	h.cutOffPeers.record(i.ID, state.IsCutOff, time.Now())
 	h.replicator.ObserveRevisions(i, replicator.Positions(state.Positions))
 	h.observeRestart(i, state)
-	h.prober.Hear(i.ID, decodeVerdicts(state.Verdicts))
+	h.prober.Receive(i.ID, decodeVerdicts(state.Verdicts))
 	return prober.State{Incarnation: state.Incarnation, IsStopping: state.IsStopping, IsReady: state.IsReady}, nil
 }
 
--- a/hoster/verdicts.go
+++ b/hoster/verdicts.go
@@ -81,6 +81,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return nil
 	}
-	h.prober.Hear(message.From, decodeVerdicts(message.Verdicts))
+	h.prober.Receive(message.From, decodeVerdicts(message.Verdicts))
 	return nil
 }
--- a/hoster/verdicts_test.go
+++ b/hoster/verdicts_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// Guards against an instance that takes the word of another one: what it says of an instance
+// Guards against an instance that believes another one: what that says of an instance
 // that answers changes nothing, and what cannot be read is refused.
 func TestALiveInstanceIsNotDeadByWord(t *testing.T) {
 	s := newPlatformStore(t)
@@ -72,8 +72,8 @@
 		defer response.Body.Close()
 		return response.StatusCode
 	}
-	word := fmt.Sprintf(`{"from":"entry-3","verdicts":[{"instance":"entry-2","incarnation":"%d","isDead":true}]}`, accused.Incarnation)
-	require.Equal(t, http.StatusOK, tell(word))
+	body := fmt.Sprintf(`{"from":"entry-3","verdicts":[{"instance":"entry-2","incarnation":"%d","isDead":true}]}`, accused.Incarnation)
+	require.Equal(t, http.StatusOK, tell(body))
 	eventually(t, "refuted", func() bool { return told.log.has(recorder.EventVerdictRefuted) })
 	require.True(t, named(t, told, accused))
 	require.False(t, told.log.has(recorder.EventInstanceUnreachable))
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -8,16 +8,16 @@
 // not grow with the fleet.
 //
 // Others learn of the death from each other as well as from the store. The verdict of
-// another instance is a reason to probe, never a verdict by itself: one probe that is
-// not answered confirms it, and an answer refutes it. The same holds for the verdict that
-// an instance is not dead any more.
+// another instance is only a reason to probe: a probe without an answer confirms it, and
+// an answer refutes it. The same holds for the verdict that an instance is not dead any
+// more.
 //
 // # Usage
 //
 //	p := prober.New(prober.Config{Self: self, Probe: probe, OnVerdict: tell})
 //	p.SetInstances(instances)
 //	err := p.Run(ctx)
-//	p.Hear("entry-2", verdicts)
+//	p.Receive("entry-2", verdicts)
 package prober
 
 import (
@@ -108,8 +108,11 @@
 	results map[string]result
 	// checkedAt is when an instance was last probed because of another's verdict.
 	checkedAt map[string]time.Time
-	// heard are the instances to probe because of another's verdict.
-	heard chan hearsay
+	// rechecks is how often an instance is still probed after one probe has confirmed the
+	// verdict of another instance.
+	rechecks map[string]int
+	// disputes are the instances to probe because of another's verdict.
+	disputes chan dispute
 	// wakeup starts a round of probes when the first instances are set.
 	wakeup chan struct{}
 }
@@ -137,7 +140,8 @@
 		startAnswered: map[string]bool{},
 		results:       map[string]result{},
 		checkedAt:     map[string]time.Time{},
-		heard:         make(chan hearsay, maxHeard),
+		rechecks:      map[string]int{},
+		disputes:      make(chan dispute, maxDisputes),
 		wakeup:        make(chan struct{}, 1),
 	}
 }
@@ -165,6 +169,7 @@
 	keepListed(p.dead, isListed)
 	keepListed(p.readyByID, isListed)
 	keepListed(p.checkedAt, isListed)
+	keepListed(p.rechecks, isListed)
 }
 
 // keepListed removes what is known of instances that are not listed.
@@ -256,8 +261,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case h := <-p.heard:
-			probes.Go(func() { p.check(ctx, h) })
+		case d := <-p.disputes:
+			probes.Go(func() { p.check(ctx, d) })
 			continue
 		case <-ticker.C:
 		case <-p.wakeup:
--- a/prober/targets.go
+++ b/prober/targets.go
@@ -38,7 +38,7 @@
 	for _, i := range p.ring() {
 		_, isDead := p.dead[i.ID]
 		isWatched := answering < probedNeighbours+min(furtherPerMiss*missing, maxFurther)
-		if isWatched || isDead && p.isDistantDeadDue() {
+		if isWatched || isDead && (p.takeRecheck(i.ID) || p.isDistantDeadDue()) {
 			targets = append(targets, target{i, !isWatched})
 		}
 		switch {
@@ -52,6 +52,16 @@
 	return p.addDistantTarget(targets)
 }
 
+// takeRecheck reports whether an instance is to be probed again because one probe only has
+// confirmed the verdict of another instance. The lock is held.
+func (p *Prober) takeRecheck(id string) bool {
+	if p.rechecks[id] == 0 {
+		return false
+	}
+	p.rechecks[id]--
+	return true
+}
+
 // isDistantDeadDue reports at random whether a dead instance that is not among the neighbours
 // is probed in this round. About distantDeadProbes instances do so in each round, however
 // large the fleet is. The lock is held.
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -20,27 +20,30 @@
 }
 
 const (
-	// maxHeard is the number of instances that wait to be probed because of verdicts of
-	// others. Further ones are probed when their verdict is heard again.
-	maxHeard = 64
+	// maxDisputes is the number of instances that wait to be probed because of verdicts of
+	// others. Further ones are probed when their verdict arrives again.
+	maxDisputes = 64
 	// checkPause is the shortest time between two probes of an instance because of
 	// verdicts of others.
 	checkPause = 2 * time.Second
 	// checkTimeout is the timeout of such a probe. It is short, since the news waits for it,
 	// and others have made several probes before it.
 	checkTimeout = 500 * time.Millisecond
+	// checkRounds is the number of rounds in which an instance is probed again after such a
+	// probe was not answered: it may have been the prober that stood still.
+	checkRounds = 3
 )
 
-// hearsay is an instance on which another one has a different verdict.
-type hearsay struct {
+// dispute is an instance on which another one has a different verdict.
+type dispute struct {
 	namer.Instance
-	from   string
-	isDead bool
+	reportedBy string
+	isDead     bool
 }
 
-// Hear handles verdicts of another instance: the instances on which this one has another
+// Receive handles verdicts of another instance: the instances on which this one has another
 // verdict are probed.
-func (p *Prober) Hear(from string, verdicts []Verdict) {
+func (p *Prober) Receive(from string, verdicts []Verdict) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -53,7 +56,7 @@
 			continue
 		}
 		select {
-		case p.heard <- hearsay{Instance: i, from: from, isDead: v.IsDead}:
+		case p.disputes <- dispute{Instance: i, reportedBy: from, isDead: v.IsDead}:
 			p.checkedAt[i.ID] = now
 		default:
 			return
@@ -87,20 +90,20 @@
 }
 
 // check probes an instance once because of another's verdict.
-func (p *Prober) check(ctx context.Context, h hearsay) {
+func (p *Prober) check(ctx context.Context, d dispute) {
 	probeCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	state, err := p.config.Probe(probeCtx, h.Instance)
+	state, err := p.config.Probe(probeCtx, d.Instance)
 	switch {
 	case ctx.Err() != nil:
-	case err == nil && state.isServing(h.Instance):
-		if h.isDead {
+	case err == nil && state.isServing(d.Instance):
+		if d.isDead {
 			p.config.Log.Info("an instance that another one takes for dead answers", recorder.EventVerdictRefuted.Attr(),
-				slog.String("instance", h.ID), slog.String("saidBy", h.from))
+				slog.String("instance", d.ID), slog.String("reportedBy", d.reportedBy))
 		}
-		p.recordAnswer(h.Instance, state.IsReady, h.from)
-	case h.isDead:
-		p.setDead(h.Instance, cause{saidBy: h.from, isStopping: err == nil && state.IsStopping})
+		p.recordAnswer(d.Instance, state.IsReady, d.reportedBy)
+	case d.isDead:
+		p.setDead(d.Instance, cause{reportedBy: d.reportedBy, isStopping: err == nil && state.IsStopping})
 	}
 }
 
@@ -123,19 +126,20 @@
 	p.recordMiss(t.Instance, beganAt, err == nil && state.IsStopping)
 }
 
-// recordAnswer records that an instance serves. saidBy is the instance that caused the probe,
-// if one did.
-func (p *Prober) recordAnswer(i namer.Instance, isReady bool, saidBy string) {
+// recordAnswer records that an instance serves. reportedBy is the instance whose verdict
+// caused the probe, if one did.
+func (p *Prober) recordAnswer(i namer.Instance, isReady bool, reportedBy string) {
 	p.mu.Lock()
 	delete(p.misses, i.ID)
 	_, wasDead := p.dead[i.ID]
 	delete(p.dead, i.ID)
+	delete(p.rechecks, i.ID)
 	before, hasAnswered := p.readyByID[i.ID]
 	p.readyByID[i.ID] = readiness{isReady, time.Now()}
 	p.mu.Unlock()
 	if wasDead {
 		p.config.Log.Info("an instance that counted as dead answers again", recorder.EventInstanceBack.Attr(),
-			slog.String("instance", i.ID), slog.String("saidBy", saidBy))
+			slog.String("instance", i.ID), slog.String("reportedBy", reportedBy))
 		p.config.OnVerdict(Verdict{Instance: i.ID, Incarnation: i.Incarnation})
 	}
 	if wasDead || !hasAnswered || before.isReady != isReady {
@@ -178,8 +182,8 @@
 
 // cause is why an instance counts as dead.
 type cause struct {
-	// saidBy is the instance whose verdict a probe has confirmed.
-	saidBy     string
+	// reportedBy is the instance whose verdict a probe has confirmed.
+	reportedBy string
 	isStopping bool
 	misses     int
 }
@@ -192,13 +196,16 @@
 	if isNew {
 		p.dead[i.ID] = i.Incarnation
 	}
+	if isNew && because.reportedBy != "" {
+		p.rechecks[i.ID] = checkRounds
+	}
 	p.mu.Unlock()
 	if !isNew {
 		return
 	}
 	p.config.Log.Warn("an instance counts as dead: it is stopping or does not answer probes", recorder.EventInstanceUnreachable.Attr(),
 		slog.String("instance", i.ID), slog.Bool("stopping", because.isStopping), slog.Int("misses", because.misses),
-		slog.String("saidBy", because.saidBy))
+		slog.String("reportedBy", because.reportedBy))
 	p.config.OnChange()
 	p.config.OnVerdict(Verdict{Instance: i.ID, Incarnation: i.Incarnation, IsDead: true})
 }
