fix: answers to probes stay readable when instances have long names

Cause: an answer to a probe shows up to 20 verdicts, whatever the length of their IDs, and its reader takes 4 KiB. Beyond about 100 characters an ID, an instance that knows of 20 dead ones sends more than that; its neighbours count the probe as failed and take it for dead too, and so on round the ring.

Change: the IDs of the verdicts shown have 1,280 bytes at most. Nothing changes for IDs of up to 64 characters.

TestAnAnswerToAProbeStaysSmall/host_names_as_IDs (253 characters): 6,588 bytes without the change, passes with it.

--- a/disseminator/disseminator.go
+++ b/disseminator/disseminator.go
@@ -38,9 +38,11 @@
 	// MaxVerdicts is the largest number of verdicts in a message. Further ones follow in
 	// the next rounds.
 	MaxVerdicts = 64
-	// maxShown is the largest number of verdicts in an answer to a probe. Of more than
-	// that, each answer shows other ones.
-	maxShown = 20
+	// maxShown is the largest number of verdicts in an answer to a probe, and maxShownIDBytes
+	// limits the length of their IDs: who gets a longer answer than it reads takes the probe for
+	// failed. Of more than that, each answer shows other ones.
+	maxShown        = 20
+	maxShownIDBytes = 20 * 64
 	// sendTimeout limits the time to send one message.
 	sendTimeout = time.Second
 	// returnMemory is how long answers to probes show that an instance is not dead.
@@ -96,10 +98,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var shown []prober.Verdict
+	idBytes := 0
 	// The order of a map differs each time.
-	for _, v := range d.shown {
-		if len(shown) < maxShown && d.config.Holds(v.Verdict) {
+	for id, v := range d.shown {
+		fits := len(shown) < maxShown && idBytes+len(id) <= maxShownIDBytes
+		if fits && d.config.Holds(v.Verdict) {
 			shown = append(shown, v.Verdict)
+			idBytes += len(id)
 		}
 	}
 	slices.SortFunc(shown, func(a, b prober.Verdict) int { return strings.Compare(a.Instance, b.Instance) })
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -70,6 +70,13 @@
 
 func (l *logBuffer) has(event recorder.Event) bool { return l.contains(event.String()) }
 
+// count returns the number of lines of an event.
+func (l *logBuffer) count(event recorder.Event) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.String(), event.String())
+}
+
 func (l *logBuffer) contains(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hoster/verdicts_test.go
+++ b/hoster/verdicts_test.go
@@ -80,8 +80,16 @@
 	require.Equal(t, http.StatusBadRequest, tell(`{"from":"entry-3","verdicts":[{"instance":`))
 }
 
-// Guards against an answer to a probe that builds before this one cannot read: they read 4 KiB.
+// Guards against an answer to a probe that others cannot read, so that they take its sender
+// for dead: they read 4 KiB.
 func TestAnAnswerToAProbeStaysSmall(t *testing.T) {
+	t.Run("many dead instances", func(t *testing.T) { requireReadableAnswers(t, 64, 20) })
+	t.Run("host names as IDs", func(t *testing.T) { requireReadableAnswers(t, 253, 4) })
+}
+
+// requireReadableAnswers plays the death of many instances with IDs of a length. An answer to a
+// probe must show some of them.
+func requireReadableAnswers(t *testing.T, idLength, shown int) {
 	const (
 		dead     = 60
 		maxBytes = 4 << 10
@@ -92,18 +100,20 @@
 	closed := listen(t)
 	closed.Close()
 	for n := range dead {
-		require.NoError(t, s.Put(instancesKind, fmt.Sprintf("entry-in-a-failure-domain-with-a-long-name-of-64-characters-%03d", n), wire.Instance{
+		id := fmt.Sprintf("%s-%03d", strings.Repeat("a", idLength-len("-000")), n)
+		require.NoError(t, s.Put(instancesKind, id, wire.Instance{
 			CallerAddress: closed.Addr().String(), PeerAddress: closed.Addr().String(), FailureDomain: e.FailureDomain, Region: e.Region,
 			Incarnation: math.MaxUint64,
 		}))
 	}
-	eventually(t, "an answer names dead instances", func() bool {
-		response, err := http.Get("http://" + e.PeerAddress + "/state")
-		require.NoError(t, err)
-		defer response.Body.Close()
-		answer, err := io.ReadAll(response.Body)
-		require.NoError(t, err)
-		require.LessOrEqual(t, len(answer), maxBytes)
-		return strings.Count(string(answer), "isDead") >= 20
+	eventually(t, "more count as dead than an answer shows", func() bool {
+		return e.log.count(recorder.EventInstanceUnreachable) > dead/2
 	})
+	response, err := http.Get("http://" + e.PeerAddress + "/state")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(answer), maxBytes)
+	require.GreaterOrEqual(t, strings.Count(string(answer), "isDead"), shown)
 }
