fix: an instance that was cut off does not remove live ones from the store

What callers saw: look-ups of the whole fleet left out up to 18 of 61 live instances until these had written their entries again, when a cut of six others ended.

Cause: who is cut off takes all others for dead. When the cut ends the store answers it again, and the remover, which waited for just that, acts on the old verdicts before the next round of probes shows that they are wrong.

A dead one that is silent costs 0.5 s, once for up to 64 of them. The pause between two rounds begins at the end of a round, so that 40 calls a second stay the most.

TestAnInstanceThatIsReachedKeepsItsEntry fails without the check.

--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -89,22 +89,31 @@
 	return isDead && incarnation == i.Incarnation
 }
 
-// check probes an instance once because of another's verdict.
-func (p *Prober) check(ctx context.Context, d dispute) {
+// Reaches probes an instance once more, and reports whether it serves. A missing answer
+// does not count.
+func (p *Prober) Reaches(ctx context.Context, i namer.Instance) bool {
+	return p.check(ctx, dispute{Instance: i})
+}
+
+// check probes an instance once because of another's verdict, and reports whether it serves.
+func (p *Prober) check(ctx context.Context, d dispute) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	state, err := p.config.Probe(probeCtx, d.Instance)
+	isServing := err == nil && state.isServing(d.Instance)
 	switch {
 	case ctx.Err() != nil:
-	case err == nil && state.isServing(d.Instance):
-		if d.isDead {
-			p.config.Log.Info("an instance that another one takes for dead answers", recorder.EventVerdictRefuted.Attr(),
-				slog.String("instance", d.ID), slog.String("reportedBy", d.reportedBy))
-		}
+		return false
+	case isServing && d.isDead:
+		p.config.Log.Info("an instance that another one takes for dead answers", recorder.EventVerdictRefuted.Attr(),
+			slog.String("instance", d.ID), slog.String("reportedBy", d.reportedBy))
+		p.recordAnswer(d.Instance, state.IsReady, d.reportedBy)
+	case isServing:
 		p.recordAnswer(d.Instance, state.IsReady, d.reportedBy)
 	case d.isDead:
 		p.setDead(d.Instance, cause{reportedBy: d.reportedBy, isStopping: err == nil && state.IsStopping})
 	}
+	return isServing
 }
 
 // probe probes an instance and counts the result.
--- a/remover/remover.go
+++ b/remover/remover.go
@@ -10,9 +10,11 @@
 // so that mostly one of them calls the store. If the call fails, or the instance whose
 // turn it is has died too, the others follow.
 //
-// An entry is removed only at the position at which it is listed, so that one that was
-// written again is kept. An entry that was written again after the instance counted as
-// dead gets time to prove that it is alive.
+// An entry is removed only if its instance is not reached right before either: that it
+// counts as dead may be long ago, or the fault of a link to this instance only. It is
+// removed only at the position at which it is listed, so that one that was written again
+// is kept. An entry that was written again after the instance counted as dead gets time to
+// prove that it is alive.
 //
 // # Usage
 //
@@ -45,6 +47,14 @@
 	confirmPause = 2500 * time.Millisecond
 	// maxCalls is the largest number of calls to the store in a round.
 	maxCalls = 8
+	// maxChecks is the largest number of instances that are looked at once more in a round,
+	// and checkMemory how long an instance that was not reached then counts as dead. In that
+	// time maxChecks entries can be removed.
+	maxChecks   = 64
+	checkMemory = 2 * time.Second
+	// alivePause is the shortest pause after an instance turned out to be alive. As long
+	// again is added at random.
+	alivePause = 10 * time.Second
 	// proofTime is the time in which an instance whose entry was written again is expected
 	// to answer a probe.
 	proofTime = 3 * time.Second
@@ -70,6 +80,9 @@
 	Dead func() []Death
 	// Position returns the position of an instance's entry, if it is in the store.
 	Position func(instance namer.Instance) (follower.Position, bool)
+	// IsAlive reports whether an instance that counts as dead is reached now, from here or
+	// from elsewhere.
+	IsAlive func(ctx context.Context, instance namer.Instance) bool
 	// IsStoreUnavailable reports whether the store answers nobody in reach.
 	IsStoreUnavailable func() bool
 	Log                *slog.Logger
@@ -90,6 +103,8 @@
 	position follower.Position
 	// dueAt is when the entry may be removed.
 	dueAt time.Time
+	// checkedAt is when the instance was last not reached.
+	checkedAt time.Time
 	// isWaiting says that the store was unavailable in the last round.
 	isWaiting bool
 }
@@ -119,18 +134,35 @@
 		case <-r.wakes:
 		}
 		r.round(ctx)
+		// A round may take longer than the interval, and the next one does not follow at once.
+		ticker.Reset(interval)
 	}
 }
 
 // round removes the entries whose turn it is.
 func (r *Remover) round(ctx context.Context) {
-	now := time.Now()
-	dead := r.config.Dead()
-	r.forgetOthers(dead)
-	isUnavailable := r.config.IsStoreUnavailable()
+	due := r.due(time.Now())
+	r.check(ctx, due, time.Now())
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	begun := 0
+	for _, removal := range due {
+		position, isListed := r.config.Position(removal.instance)
+		isDead := time.Since(removal.checkedAt) < checkMemory
+		if !isDead || !isListed || position != removal.position || begun >= maxCalls {
+			continue
+		}
+		begun++
+		calls.Go(func() { r.remove(ctx, removal) })
+	}
+}
+
+// due returns the removals whose turn it is.
+func (r *Remover) due(now time.Time) []*removal {
+	dead := r.config.Dead()
+	r.forgetOthers(dead)
+	isUnavailable := r.config.IsStoreUnavailable()
+	var due []*removal
 	for _, death := range dead {
 		position, isListed := r.config.Position(death.Instance)
 		if !isListed {
@@ -142,11 +174,31 @@
 			continue
 		}
 		removal.isWaiting = false
-		if now.Before(removal.dueAt) || begun >= maxCalls {
+		if !now.Before(removal.dueAt) {
+			due = append(due, removal)
+		}
+	}
+	return due
+}
+
+// check looks once more at instances that have not been looked at lately.
+func (r *Remover) check(ctx context.Context, due []*removal, now time.Time) {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	begun := 0
+	for _, removal := range due {
+		if now.Sub(removal.checkedAt) < checkMemory || begun >= maxChecks {
 			continue
 		}
 		begun++
-		calls.Go(func() { r.remove(ctx, removal) })
+		checks.Go(func() {
+			if r.config.IsAlive(ctx, removal.instance) {
+				removal.dueAt = time.Now().Add(alivePause + rand.N(alivePause))
+				r.logOf(removal).Info("the entry of a dead instance is kept, since it answers", recorder.EventRemovalRefuted.Attr())
+				return
+			}
+			removal.checkedAt = time.Now()
+		})
 	}
 }
 
--- a/remover/remover_test.go
+++ b/remover/remover_test.go
@@ -29,6 +29,9 @@
 	fails bool
 	// isExecutedUnanswered makes failing calls remove the entry all the same.
 	isExecutedUnanswered bool
+	// isAlive says that all instances answer; checks is how often that was asked.
+	isAlive bool
+	checks  int
 	// calls are the times of the calls after the start.
 	calls []time.Duration
 	start time.Time
@@ -72,6 +75,18 @@
 	return s.isUnavailable
 }
 
+// reaches stands for a probe; one without an answer takes checkTimeout.
+func (s *store) reaches(_ context.Context, _ namer.Instance) bool {
+	s.mu.Lock()
+	s.checks++
+	isAlive := s.isAlive
+	s.mu.Unlock()
+	if !isAlive {
+		time.Sleep(checkTimeout)
+	}
+	return isAlive
+}
+
 // change changes the state of the fake.
 func (s *store) change(apply func()) {
 	s.mu.Lock()
@@ -86,8 +101,12 @@
 	return len(s.positions), append([]time.Duration(nil), s.calls...)
 }
 
-// offRound is how long after the rounds a test changes the state and looks at it.
-const offRound = 50 * time.Millisecond
+const (
+	// offRound is how long after the rounds a test changes the state and looks at it.
+	offRound = 50 * time.Millisecond
+	// checkTimeout is how long a dead instance is waited for.
+	checkTimeout = 500 * time.Millisecond
+)
 
 // run runs a Remover of which n instances are dead, all at the given turn.
 func run(t *testing.T, n, turn int, test func(s *store)) {
@@ -100,7 +119,7 @@
 			s.dead = append(s.dead, remover.Death{Instance: namer.Instance{ID: id, Incarnation: 1}, Turn: turn})
 		}
 		r := remover.New(remover.Config{
-			Registry: s, Dead: s.deaths, Position: s.positionOf, IsStoreUnavailable: s.isAway, Log: slog.New(slog.DiscardHandler),
+			Registry: s, Dead: s.deaths, Position: s.positionOf, IsAlive: s.reaches, IsStoreUnavailable: s.isAway, Log: slog.New(slog.DiscardHandler),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -203,6 +222,26 @@
 	})
 }
 
+// Guards against the removal of live instances' entries by one that was cut off from them, or
+// still is: their deaths are old news, or known here only.
+func TestAnInstanceThatIsReachedKeepsItsEntry(t *testing.T) {
+	run(t, 1, 0, func(s *store) {
+		s.change(func() { s.isUnavailable = true })
+		time.Sleep(time.Minute)
+		s.change(func() { s.isUnavailable, s.isAlive = false, true })
+		time.Sleep(time.Minute)
+		entries, calls := s.seen()
+		require.Equal(t, 1, entries)
+		require.Empty(t, calls)
+		var checks int
+		s.change(func() { checks, s.isAlive = s.checks, false })
+		require.LessOrEqual(t, checks, 6, "checks are paced")
+		time.Sleep(time.Minute)
+		entries, _ = s.seen()
+		require.Zero(t, entries, "it has ended since")
+	})
+}
+
 // Guards against a burst of calls when the store returns and a whole failure domain has died.
 func TestManyEntriesAreRemovedAFewAtATime(t *testing.T) {
 	const n = 43
