fix: an instance that others reach is not removed from the store

While one instance, or failure domain, cannot reach another, and both reach the store and all others, it removes the entries of the other again and again; look-ups of the whole fleet leave these out until they are written again.

Cause: a verdict that holds for one place only is written into the store, which is read everywhere.

Change: the remover asks up to three others, of other failure domains first, whether they reach the instance, beside its own probe, and keeps the entry if one does; it looks again after 10 to 20 s. No answer, and that of an earlier build, count for nothing.

Open: an instance that reaches the store only removes everybody's entries, as before.

--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -79,6 +79,7 @@
 		return nil
 	})
 	routes.POST(verdictsPath, h.serveVerdicts)
+	routes.GET(reachesPath, h.serveReaches)
 	routes.POST(loansPath, h.serveLoan)
 	routes.GET(quotasPath, h.serveQuotas)
 	routes.POST(quotaLoansPath, h.serveQuotaLoan)
--- a/hoster/removal.go
+++ b/hoster/removal.go
@@ -20,7 +20,7 @@
 		Registry:           h.config.Registry,
 		Dead:               h.deaths,
 		Position:           h.roster.positionOf,
-		IsAlive:            h.prober.Reaches,
+		IsAlive:            h.isAlive,
 		IsStoreUnavailable: h.replicator.IsStoreUnavailable,
 		Log:                h.config.Log,
 	})
--- a/hoster/roster.go
+++ b/hoster/roster.go
@@ -161,6 +161,14 @@
 	return slices.DeleteFunc(slices.Clone(serving), func(i namer.Instance) bool { return i.ID == r.h.config.Self.ID })
 }
 
+// find returns the listed instance with an ID.
+func (r *roster) find(id string) (namer.Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed, isListed := r.listed[id]
+	return listed.Instance, isListed
+}
+
 // positionOf returns the position of an incarnation's entry, if the store has it.
 func (r *roster) positionOf(i namer.Instance) (follower.Position, bool) {
 	r.mu.Lock()
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -173,7 +173,7 @@
 		{EventVerdictRefuted, slog.LevelInfo, "Another instance takes one for dead that answers this one; nothing changes here."},
 		{EventVerdictNotSent, slog.LevelInfo, "Another instance could not be told which instances count as dead; it learns of them from others."},
 		{EventVerdictMalformed, slog.LevelWarn, "What another instance says of dead instances cannot be read and is ignored."},
-		{EventRemovalRefuted, slog.LevelInfo, "The entry of an instance that counted as dead was not removed from the store, because it answers now."},
+		{EventRemovalRefuted, slog.LevelInfo, "The entry of an instance that counted as dead was not removed from the store, because it answers this instance or another one."},
 		{EventQuotaSpent, slog.LevelInfo, "A request of a tenant was refused because its quota is spent; further refusals are only counted."},
 		{EventQuotaFree, slog.LevelInfo, "No request of that tenant has been refused for its quota for a while; refusals says how many were."},
 		{EventQuotaLoanFailed, slog.LevelInfo, "Another instance did not answer whether it lends tokens of a quota, or a message about it is malformed."},
--- a/remover/remover.go
+++ b/remover/remover.go
@@ -194,7 +194,7 @@
 		checks.Go(func() {
 			if r.config.IsAlive(ctx, removal.instance) {
 				removal.dueAt = time.Now().Add(alivePause + rand.N(alivePause))
-				r.logOf(removal).Info("the entry of a dead instance is kept, since it answers", recorder.EventRemovalRefuted.Attr())
+				r.logOf(removal).Info("the entry of an instance that counts as dead is kept, since it answers", recorder.EventRemovalRefuted.Attr())
 				return
 			}
 			removal.checkedAt = time.Now()
