--- a/hoster/witnesses.go
+++ b/hoster/witnesses.go
@@ -107,9 +107,14 @@
 // serveReaches probes an instance that the store lists, and answers whether it is reached.
 func (h *Hoster) serveReaches(w http.ResponseWriter, r bunrouter.Request) error {
 	id := r.URL.Query().Get(instanceParameter)
-	isReached := id == h.config.Self.ID && !h.isStopping.Load()
-	if i, isListed := h.roster.find(id); isListed && id != h.config.Self.ID {
-		isReached = h.prober.Reaches(r.Context(), i)
+	return json.NewEncoder(w).Encode(reachesAnswer{IsReached: h.reaches(r.Context(), id)})
+}
+
+// reaches reports whether this instance, or one that it reaches, has an ID and is not stopping.
+func (h *Hoster) reaches(ctx context.Context, id string) bool {
+	if id == h.config.Self.ID {
+		return !h.isStopping.Load()
 	}
-	return json.NewEncoder(w).Encode(reachesAnswer{IsReached: isReached})
+	i, isListed := h.roster.find(id)
+	return isListed && h.prober.Reaches(ctx, i)
 }
--- a/remover/remover.go
+++ b/remover/remover.go
@@ -191,17 +191,19 @@
 			continue
 		}
 		begun++
-		checks.Go(func() {
-			if r.config.IsAlive(ctx, removal.instance) {
-				removal.dueAt = time.Now().Add(alivePause + rand.N(alivePause))
-				r.logOf(removal).Info("the entry of an instance that counts as dead is kept, since it answers", recorder.EventRemovalRefuted.Attr())
-				return
-			}
-			removal.checkedAt = time.Now()
-		})
+		checks.Go(func() { r.checkOne(ctx, removal) })
 	}
 }
 
+func (r *Remover) checkOne(ctx context.Context, removal *removal) {
+	if !r.config.IsAlive(ctx, removal.instance) {
+		removal.checkedAt = time.Now()
+		return
+	}
+	removal.dueAt = time.Now().Add(alivePause + rand.N(alivePause))
+	r.logOf(removal).Info("the entry of an instance that counts as dead is kept, since it answers", recorder.EventRemovalRefuted.Attr())
+}
+
 // forgetOthers forgets the removals of instances that do not count as dead any more.
 func (r *Remover) forgetOthers(dead []Death) {
 	isDead := map[string]bool{}
