fix: an instance that reaches the store only removes live entries seldom

An instance that reaches no other one, but the store, takes all others for dead and removes their entries; these write them again, it removes them again after 3 s, and so on.

Cause: nothing is remembered of a removal once the entry is gone, so that the proof of life which a rewritten entry is counts for nothing.

Change: the remover remembers what it removed. If the same start of the instance has written its entry again, the next removal waits 3 s, then 12 s, 48 s, up to 5 minutes. A later start, and one that another instance removed, do not wait.

The instance that is left alone can still take each other one out of look-ups once.

--- a/remover/remover.go
+++ b/remover/remover.go
@@ -14,7 +14,8 @@
 // counts as dead may be long ago, or the fault of a link to this instance only. It is
 // removed only at the position at which it is listed, so that one that was written again
 // is kept. An entry that was written again after the instance counted as dead gets time to
-// prove that it is alive.
+// prove that it is alive, and more and more time if it was removed before: the same start
+// of an instance that writes its entry again lives, and does not reach this one only.
 //
 // # Usage
 //
@@ -25,6 +26,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -58,6 +60,10 @@
 	// proofTime is the time in which an instance whose entry was written again is expected
 	// to answer a probe.
 	proofTime = 3 * time.Second
+	// proofGrowth is how many times longer an instance gets after each removal of an entry
+	// that it wrote again, and maxProofTime the longest time that it gets.
+	proofGrowth  = 4
+	maxProofTime = 5 * time.Minute
 )
 
 // Death is an instance that counts as dead.
@@ -92,8 +98,18 @@
 type Remover struct {
 	config Config
 	wakes  chan struct{}
-	// removals are the entries to remove, by ID. Only Run uses them.
+	// removals are the entries to remove, and removed those that were removed lately, by ID.
+	// Only Run uses them.
 	removals map[string]*removal
+	removed  map[string]removed
+}
+
+// removed is a removed entry.
+type removed struct {
+	incarnation uint64
+	at          time.Time
+	// proofTime is the time that the instance gets if it has written the entry again.
+	proofTime time.Duration
 }
 
 // removal is the removal of one entry.
@@ -107,11 +123,13 @@
 	checkedAt time.Time
 	// isWaiting says that the store was unavailable in the last round.
 	isWaiting bool
+	// nextProofTime is the time that the instance gets if it writes the entry again.
+	nextProofTime time.Duration
 }
 
 // New returns a Remover.
 func New(config Config) *Remover {
-	return &Remover{config: config, wakes: make(chan struct{}, 1), removals: map[string]*removal{}}
+	return &Remover{config: config, wakes: make(chan struct{}, 1), removals: map[string]*removal{}, removed: map[string]removed{}}
 }
 
 // Wake starts a round at once.
@@ -153,10 +171,17 @@
 			continue
 		}
 		begun++
+		r.remember(removal, time.Now())
 		calls.Go(func() { r.remove(ctx, removal) })
 	}
 }
 
+// remember remembers that an entry is removed, and forgets what was removed long ago.
+func (r *Remover) remember(removal *removal, now time.Time) {
+	maps.DeleteFunc(r.removed, func(_ string, old removed) bool { return now.Sub(old.at) >= 2*maxProofTime })
+	r.removed[removal.instance.ID] = removed{incarnation: removal.instance.Incarnation, at: now, proofTime: removal.nextProofTime}
+}
+
 // due returns the removals whose turn it is.
 func (r *Remover) due(now time.Time) []*removal {
 	dead := r.config.Dead()
@@ -228,7 +253,7 @@
 	known := r.removals[death.ID]
 	switch {
 	case known == nil || known.instance.Incarnation != death.Incarnation:
-		known = &removal{instance: death.Instance, position: position, dueAt: turnOf(death, now)}
+		known = r.newRemoval(death, position, now)
 		r.removals[death.ID] = known
 	case known.position != position:
 		known.position = position
@@ -237,6 +262,18 @@
 	return known
 }
 
+// newRemoval returns the removal of an entry, which may have been removed before and been
+// written again.
+func (r *Remover) newRemoval(death Death, position follower.Position, now time.Time) *removal {
+	next := &removal{instance: death.Instance, position: position, dueAt: turnOf(death, now), nextProofTime: proofTime}
+	before, isKnown := r.removed[death.ID]
+	if isKnown && before.incarnation == death.Incarnation {
+		next.dueAt = turnOf(death, now.Add(before.proofTime))
+		next.nextProofTime = min(proofGrowth*before.proofTime, maxProofTime)
+	}
+	return next
+}
+
 // postpone keeps a removal until the store is available, and for its turn from then on.
 func (r *Remover) postpone(removal *removal, turn time.Time) {
 	if turn.After(removal.dueAt) {
--- a/remover/remover_test.go
+++ b/remover/remover_test.go
@@ -242,6 +242,43 @@
 	})
 }
 
+// Guards against an instance that reaches nobody but the store, and takes live instances out of
+// the look-ups of all others again and again.
+func TestAnEntryThatIsWrittenAgainAndAgainIsRemovedSeldom(t *testing.T) {
+	const (
+		span   = 2 * time.Minute
+		absent = time.Second
+	)
+	run(t, 1, 0, func(s *store) {
+		for range int(span / absent) {
+			time.Sleep(absent)
+			s.change(func() {
+				if len(s.positions) == 0 {
+					s.positions["entry-000"] = follower.Position(8 + len(s.calls))
+				}
+			})
+		}
+		_, calls := s.seen()
+		require.GreaterOrEqual(t, len(calls), 2, "the first ones cannot know")
+		require.LessOrEqual(t, len(calls), 5)
+	})
+}
+
+// Guards against an instance that is taken for its earlier start, which was removed.
+func TestALaterStartIsRemovedAtOnce(t *testing.T) {
+	run(t, 1, 0, func(s *store) {
+		time.Sleep(time.Second)
+		s.change(func() {
+			s.positions["entry-000"] = 8
+			s.dead[0].Incarnation = 2
+		})
+		time.Sleep(time.Second)
+		entries, calls := s.seen()
+		require.Zero(t, entries)
+		require.Len(t, calls, 2)
+	})
+}
+
 // Guards against a burst of calls when the store returns and a whole failure domain has died.
 func TestManyEntriesAreRemovedAFewAtATime(t *testing.T) {
 	const n = 43
