--- a/remover/remover.go
+++ b/remover/remover.go
@@ -3,19 +3,20 @@
 //
 // An entry is removed again and again until the store no longer lists it: the store may
 // be away when the instance dies, and a call without an answer may not have been
-// executed. Nothing is remembered between two rounds but the pace: each round starts
-// from the instances that count as dead and from the entries that are listed.
+// executed. Each round starts from the instances that count as dead and from the entries
+// that are listed. Only the pace is remembered, and what was removed lately.
 //
 // Several instances know of each death. They take turns, the next one in the ring first,
 // so that mostly one of them calls the store. If the call fails, or the instance whose
 // turn it is has died too, the others follow.
 //
-// An entry is removed only if its instance is not reached right before either: that it
-// counts as dead may be long ago, or the fault of a link to this instance only. It is
-// removed only at the position at which it is listed, so that one that was written again
-// is kept. An entry that was written again after the instance counted as dead gets time to
-// prove that it is alive, and more and more time if it was removed before: the same start
-// of an instance that writes its entry again lives, and does not reach this one only.
+// Right before, the instance is probed once more, by others too. The verdict on it may be
+// old, or the link to this instance may be at fault.
+//
+// An entry is removed only at the position at which it is listed, so that one that was
+// written again is kept. An instance whose entry was written again gets time to prove that
+// it is alive. It gets more of it after each removal: if the same start writes its entry
+// once more, then it lives, and it is this instance that does not reach it.
 //
 // # Usage
 //
