test: an answer to a probe is looked at until it shows what it may

Change: it asks again until 20 are shown, as it did before, and checks the length of each answer. The store is away meanwhile, so that the remover takes none of them out.

--- a/disseminator/disseminator_test.go
+++ b/disseminator/disseminator_test.go
@@ -50,3 +50,21 @@
 		}
 	})
 }
+
+// Guards against an answer to a probe that is longer than others read, so that they take its
+// sender for dead.
+func TestVerdictsThatAreShownHaveABoundedLength(t *testing.T) {
+	const (
+		dead = 60
+		// maxIDBytes and maxVerdicts are what the limit of 4 KiB of an answer leaves room for.
+		maxIDBytes  = 1280
+		maxVerdicts = 20
+	)
+	for _, idLength := range []int{8, 64, 100, 253} {
+		d := disseminator.New(disseminator.Config{Holds: func(prober.Verdict) bool { return true }, Log: slog.New(slog.DiscardHandler)})
+		for i := range dead {
+			d.Tell(prober.Verdict{Instance: fmt.Sprintf("%0*d", idLength, i), IsDead: true})
+		}
+		require.Len(t, d.Shown(), min(maxVerdicts, maxIDBytes/idLength), "IDs of %d characters", idLength)
+	}
+}
--- a/hoster/verdicts_test.go
+++ b/hoster/verdicts_test.go
@@ -96,24 +96,25 @@
 	)
 	s := newPlatformStore(t)
 	s.configure(t, 1, "/x/")
-	e := s.startRegistered(t, "entry-1")
 	closed := listen(t)
 	closed.Close()
 	for n := range dead {
 		id := fmt.Sprintf("%s-%03d", strings.Repeat("a", idLength-len("-000")), n)
 		require.NoError(t, s.Put(instancesKind, id, wire.Instance{
-			CallerAddress: closed.Addr().String(), PeerAddress: closed.Addr().String(), FailureDomain: e.FailureDomain, Region: e.Region,
+			CallerAddress: closed.Addr().String(), PeerAddress: closed.Addr().String(), FailureDomain: "north-a", Region: "north",
 			Incarnation: math.MaxUint64,
 		}))
 	}
-	eventually(t, "more count as dead than an answer shows", func() bool {
-		return e.log.count(recorder.EventInstanceUnreachable) > dead/2
+	e := s.startRegistered(t, "entry-1")
+	// The entries cannot be removed, so that the deaths add up.
+	s.InjectFaults(imitator.StoreFaults{IsUnavailable: true})
+	eventually(t, "an answer shows as many as it may", func() bool {
+		response, err := http.Get("http://" + e.PeerAddress + "/state")
+		require.NoError(t, err)
+		defer response.Body.Close()
+		answer, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(answer), maxBytes)
+		return strings.Count(string(answer), "isDead") >= shown && e.log.count(recorder.EventInstanceUnreachable) > dead/2
 	})
-	response, err := http.Get("http://" + e.PeerAddress + "/state")
-	require.NoError(t, err)
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	require.LessOrEqual(t, len(answer), maxBytes)
-	require.GreaterOrEqual(t, strings.Count(string(answer), "isDead"), shown)
 }
