fix: an instance that was cut off finds all others again

Callers saw: after a domain was cut off from the others and joined again, look-ups at its instances left out live instances for minutes.

Cause: a dead instance that is no neighbour is probed by 16 of the fleet at random in a round, so by one that was cut off every n/16 rounds; the others have no news for it, and those that were cut off beside it are few among whom the news is told.

Change: a dead instance that answers and has not started again was cut off, or its prober was. All that count as dead are then probed once more, 128 a round at most.

--- a/disseminator/fleet_test.go
+++ b/disseminator/fleet_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+// cutApart cuts what either side sends to the other.
+func (f *fleet) cutApart(side, other []namer.Instance) {
+	for _, a := range side {
+		for _, b := range other {
+			f.cut(a, b)
+			f.cut(b, a)
+		}
+	}
+}
+
 // cut cuts what one instance sends to another.
 func (f *fleet) cut(from, to namer.Instance) {
 	f.mu.Lock()
@@ -314,3 +324,21 @@
 		}
 	})
 }
+
+// Guards against a domain that was cut off and leaves out live instances of the others for
+// minutes after it: nobody probed them for it, and the news that they live concerned too few.
+func TestDomainsThatWereCutApartKnowEachOtherAgain(t *testing.T) {
+	for _, n := range []int{60, 200} {
+		play(t, n, func(f *fleet) {
+			cutOff, others := f.all[:n/domains], f.all[n/domains:]
+			f.cutApart(cutOff, others)
+			time.Sleep(2 * deathBound)
+			require.Equal(t, len(cutOff), f.believers(f.all[n/2]))
+			f.mend()
+			time.Sleep(2 * returnBound)
+			for _, i := range f.all {
+				require.Zero(t, f.believers(i), "%s of %d", i.ID, n)
+			}
+		})
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -12,6 +12,10 @@
 // an answer refutes it. The same holds for the verdict that an instance is not dead any
 // more.
 //
+// A dead instance that answers, and has not started again, was cut off, or the prober's own
+// instance was. All that count as dead are then probed once more, so that an instance that
+// was cut off from many soon names them again.
+//
 // # Usage
 //
 //	p := prober.New(prober.Config{Self: self, Probe: probe, OnVerdict: tell})
@@ -108,8 +112,8 @@
 	results map[string]result
 	// checkedAt is when an instance was last probed because of another's verdict.
 	checkedAt map[string]time.Time
-	// rechecks is how often an instance is still probed after one probe has confirmed the
-	// verdict of another instance.
+	// rechecks is how often a dead instance is still probed again: after one probe only has
+	// confirmed the verdict of another instance, and after another dead one has answered.
 	rechecks map[string]int
 	// disputes are the instances to probe because of another's verdict.
 	disputes chan dispute
@@ -162,6 +166,7 @@
 		if incarnation, dead := p.dead[i.ID]; dead && incarnation != i.Incarnation {
 			delete(p.dead, i.ID)
 			delete(p.misses, i.ID)
+			delete(p.rechecks, i.ID)
 		}
 	}
 	keepListed(p.misses, isListed)
--- a/prober/targets.go
+++ b/prober/targets.go
@@ -16,6 +16,9 @@
 	// missed a probe lately, and maxFurther the largest number of them.
 	furtherPerMiss = 2
 	maxFurther     = 32
+	// maxRechecks is the largest number of dead instances in a round that are probed again
+	// because of rechecks.
+	maxRechecks = 128
 )
 
 // target is an instance to probe.
@@ -34,11 +37,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var targets []target
+	rechecked := p.takeRechecks()
 	answering, missing := 0, 0
 	for _, i := range p.ring() {
 		_, isDead := p.dead[i.ID]
 		isWatched := answering < probedNeighbours+min(furtherPerMiss*missing, maxFurther)
-		if isWatched || isDead && (p.takeRecheck(i.ID) || p.isDistantDeadDue()) {
+		if isWatched || isDead && (rechecked[i.ID] || p.isDistantDeadDue()) {
 			targets = append(targets, target{i, !isWatched})
 		}
 		switch {
@@ -52,14 +56,28 @@
 	return p.addDistantTarget(targets)
 }
 
-// takeRecheck reports whether an instance is to be probed again because one probe only has
-// confirmed the verdict of another instance. The lock is held.
-func (p *Prober) takeRecheck(id string) bool {
-	if p.rechecks[id] == 0 {
-		return false
+// recheckDead has each dead instance probed once more. One of them answers that has not started
+// again: it was cut off from this instance, and the others may have been so too. The lock is held.
+func (p *Prober) recheckDead() {
+	for id := range p.dead {
+		p.rechecks[id] = max(p.rechecks[id], 1)
 	}
-	p.rechecks[id]--
-	return true
+}
+
+// takeRechecks returns the IDs of the instances to probe again in this round. The lock is held.
+func (p *Prober) takeRechecks() map[string]bool {
+	taken := map[string]bool{}
+	for id, left := range p.rechecks {
+		if len(taken) == maxRechecks {
+			break
+		}
+		taken[id] = true
+		p.rechecks[id] = left - 1
+		if left == 1 {
+			delete(p.rechecks, id)
+		}
+	}
+	return taken
 }
 
 // isDistantDeadDue reports at random whether a dead instance that is not among the neighbours
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -107,9 +107,9 @@
 	case isServing && d.isDead:
 		p.config.Log.Info("an instance that another one takes for dead answers", recorder.EventVerdictRefuted.Attr(),
 			slog.String("instance", d.ID), slog.String("reportedBy", d.reportedBy))
-		p.recordAnswer(d.Instance, state.IsReady, d.reportedBy)
+		p.recordAnswer(d.Instance, state, d.reportedBy)
 	case isServing:
-		p.recordAnswer(d.Instance, state.IsReady, d.reportedBy)
+		p.recordAnswer(d.Instance, state, d.reportedBy)
 	case d.isDead:
 		p.setDead(d.Instance, cause{reportedBy: d.reportedBy, isStopping: err == nil && state.IsStopping})
 	}
@@ -129,7 +129,7 @@
 		p.recordResult(t.Instance, err == nil)
 	}
 	if err == nil && state.isServing(t.Instance) {
-		p.recordAnswer(t.Instance, state.IsReady, "")
+		p.recordAnswer(t.Instance, state, "")
 		return
 	}
 	p.recordMiss(t.Instance, beganAt, err == nil && state.IsStopping)
@@ -137,21 +137,24 @@
 
 // recordAnswer records that an instance serves. reportedBy is the instance whose verdict
 // caused the probe, if one did.
-func (p *Prober) recordAnswer(i namer.Instance, isReady bool, reportedBy string) {
+func (p *Prober) recordAnswer(i namer.Instance, state State, reportedBy string) {
 	p.mu.Lock()
 	delete(p.misses, i.ID)
 	_, wasDead := p.dead[i.ID]
 	delete(p.dead, i.ID)
 	delete(p.rechecks, i.ID)
+	if wasDead && state.Incarnation == i.Incarnation {
+		p.recheckDead()
+	}
 	before, hasAnswered := p.readyByID[i.ID]
-	p.readyByID[i.ID] = readiness{isReady, time.Now()}
+	p.readyByID[i.ID] = readiness{state.IsReady, time.Now()}
 	p.mu.Unlock()
 	if wasDead {
 		p.config.Log.Info("an instance that counted as dead answers again", recorder.EventInstanceBack.Attr(),
 			slog.String("instance", i.ID), slog.String("reportedBy", reportedBy))
 		p.config.OnVerdict(Verdict{Instance: i.ID, Incarnation: i.Incarnation})
 	}
-	if wasDead || !hasAnswered || before.isReady != isReady {
+	if wasDead || !hasAnswered || before.isReady != state.IsReady {
 		p.config.OnChange()
 	}
 }
