fix: news of several instances goes to them too

What callers saw: part of the fault before, live instances that are left out for long after a cut.

Cause: a message was not sent to those that it is about. An instance that was cut off and finds all others again has nobody else to tell: its news was dropped.

Change: only who would learn nothing but of itself is left out.

Evidence: TestNewsOfSeveralGoesToThemToo, nobody told before.

--- a/disseminator/disseminator.go
+++ b/disseminator/disseminator.go
@@ -154,10 +154,11 @@
 	return verdicts
 }
 
-// choose returns a few instances at random, of those that the verdicts are not about.
+// choose returns a few instances at random, of those to which the verdicts tell something of
+// others than themselves.
 func choose(peers []namer.Instance, verdicts []prober.Verdict) []namer.Instance {
 	others := slices.DeleteFunc(slices.Clone(peers), func(i namer.Instance) bool {
-		return slices.ContainsFunc(verdicts, func(v prober.Verdict) bool { return v.Instance == i.ID })
+		return !slices.ContainsFunc(verdicts, func(v prober.Verdict) bool { return v.Instance != i.ID })
 	})
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
 	return others[:min(len(others), fanout)]
--- a/disseminator/disseminator_test.go
+++ b/disseminator/disseminator_test.go
@@ -51,6 +51,34 @@
 	})
 }
 
+// Guards against news that nobody is told, because it names all that could be told: so it is
+// for an instance that was cut off and has just found the others again.
+func TestNewsOfSeveralGoesToThemToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := []namer.Instance{{ID: "entry-1"}, {ID: "entry-2"}}
+		var mu sync.Mutex
+		told := map[string]int{}
+		d := disseminator.New(disseminator.Config{
+			Peers: func() []namer.Instance { return peers },
+			Holds: func(prober.Verdict) bool { return true },
+			Send: func(_ context.Context, to namer.Instance, verdicts []prober.Verdict) error {
+				mu.Lock()
+				defer mu.Unlock()
+				told[to.ID] += len(verdicts)
+				return nil
+			},
+			Log: slog.New(slog.DiscardHandler),
+		})
+		for _, i := range peers {
+			d.Tell(prober.Verdict{Instance: i.ID, Incarnation: 1})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, d.Run(ctx), context.DeadlineExceeded)
+		require.Equal(t, map[string]int{"entry-1": 2, "entry-2": 2}, told)
+	})
+}
+
 // Guards against an answer to a probe that is longer than others read, so that they take its
 // sender for dead.
 func TestVerdictsThatAreShownHaveABoundedLength(t *testing.T) {
